Spare discovery: exponential backoff with jitter, and one call at a start

Discovery does about 16 calls a second, gives up a call that has stood in line for 2 s, and works on calls that nobody waits for.

At fault in internal/gateway/discovery.go: watchRetry asked again 50 ms after a 503; checkMost gave up the call for the whole list after 250 ms, shorter than the line; and each start made two calls, one for the list that the gateway had just been given and one to watch it.

Now a 503 is followed by 2 to 4 s, doubling to 16 s, spread by jitter, and the watch itself is tried again; calls that time out get more time; and the watch goes on from the whole list that the gateway was started with. Discovery that began anew (versions behind the list held) is asked for all.

--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -18,11 +19,25 @@
 const (
 	watchWait  = 4 * time.Second        // a watch waits so long for news ...
 	watchOver  = 500 * time.Millisecond // ... and is given up so long after: discovery that is down says nothing
-	checkMost  = 250 * time.Millisecond // a call that need not wait is given up after this
+	checkFirst = 250 * time.Millisecond // a call that need not wait is given up after this, at first
 	watchRetry = 50 * time.Millisecond
 	listMost   = 8 << 20 // bytes of a list
+
+	// A call that is given up has been in vain for discovery too, which works on it all the same. So the next one
+	// waits longer: a fleet that gives up too soon keeps a line at discovery that nobody gets through.
+	patienceMost = 2 * time.Second
+
+	// Discovery serves the whole fleet. While it has more calls than it can take it turns them away or lets them
+	// wait in vain, and works on those that nobody waits for any more: who comes again before that line is done
+	// waits in vain again. So the first wait is longer than such a line and spread as wide; how many gateways call
+	// is not known here, so waits double until few enough do.
+	backoffFirst = 4 * time.Second
+	backoffMost  = 16 * time.Second
 )
 
+// errOverbooked says that discovery is up and has turned a call away, as it has too many.
+var errOverbooked = errors.New("discovery has too many calls")
+
 // serverList is discovery's form of a list of servers.
 type serverList struct {
 	Version uint64        `json:"version"`
@@ -81,30 +96,38 @@
 
 // watcher follows discovery.
 type watcher struct {
-	client *http.Client
-	base   string
-	wait   time.Duration // of a watch
-	over   time.Duration // past its wait a call is given up
-	check  time.Duration // a call that does not wait is given up
-	post   func(event)
-	log    *slog.Logger
+	client  *http.Client
+	base    string
+	wait    time.Duration // of a watch
+	over    time.Duration // past its wait a call is given up
+	check   time.Duration // a call that does not wait is given up, at first
+	known   bool          // the list is held already, as of the version
+	version uint64
+	pause   func(context.Context, time.Duration)
+	post    func(event)
+	log     *slog.Logger
 }
 
 func newWatcher(addr netip.AddrPort, post func(event), log *slog.Logger) *watcher {
 	transport := &http.Transport{DialContext: (&net.Dialer{Timeout: watchOver}).DialContext,
 		MaxIdleConns: 1, DisableCompression: true}
 	return &watcher{client: &http.Client{Transport: transport}, base: "http://" + addr.String() + "/v1/servers",
-		wait: watchWait, over: watchOver, check: checkMost, post: post, log: log}
+		wait: watchWait, over: watchOver, check: checkFirst, pause: sleep, post: post, log: log}
 }
 
 // follow watches discovery at an address, and from each move on at the new one. A move calls off what waits at
 // the old address and begins with the whole list of the new one, only after the old watcher has ended: versions
 // of the two tell nothing of each other, so their changes must never be mixed. Until the new one answers, the
 // list last told stays.
-func follow(ctx context.Context, addr netip.AddrPort, moves <-chan netip.AddrPort, post func(event), log *slog.Logger) {
+//
+// At the start the watch goes on from the list that the gateway was started with, if that is a whole one: a fleet
+// that is restarted at once would else ask for every list twice, whole and then to be watched.
+func follow(ctx context.Context, addr netip.AddrPort, held serverList, moves <-chan netip.AddrPort, post func(event), log *slog.Logger) {
 	for ctx.Err() == nil {
 		at, cancel := context.WithCancel(ctx)
 		w, ended := newWatcher(addr, post, log), make(chan struct{})
+		w.known, w.version = held.Full && len(held.Servers) > 0, held.Version
+		held = serverList{}
 		go func() {
 			defer close(ended)
 			w.run(at)
@@ -122,11 +145,14 @@
 // soon as the last one is answered, so that the watch goes on. A watch can't tell discovery that is down from
 // a fleet that does not change, so after a failure short calls, which are answered at once, find out when
 // discovery is back. Without them a gateway would learn of a drain only seconds after that, and go on sending.
+// Discovery that turns calls away is up: the watch itself is tried again, with exponential backoff and jitter. A
+// short call would only be one more for it, and waits that are alike would bring the whole fleet back at once.
 func (w *watcher) run(ctx context.Context) {
 	defer w.client.CloseIdleConnections()
-	version, known, failing := uint64(0), false, false
+	version, known, failing := w.version, w.known, false
+	patience, backoff := w.check, backoffFirst
 	for ctx.Err() == nil {
-		url, within := w.base, w.check
+		url, within := w.base, patience
 		if known {
 			wait := time.Duration(0)
 			if !failing {
@@ -139,15 +165,28 @@
 		if err == nil && !known && !list.Full {
 			err = errors.New("changes to a list that this gateway does not hold")
 		}
-		if err != nil {
-			if !failing && ctx.Err() == nil {
-				w.log.Warn("discovery is failing", "err", err)
+		if err != nil && !failing && ctx.Err() == nil {
+			w.log.Warn("discovery is failing", "err", err)
+		}
+		switch {
+		case errors.Is(err, errOverbooked):
+			w.pause(ctx, backoff/2+rand.N(backoff/2))
+			failing, backoff = !known, min(2*backoff, backoffMost)
+			continue
+		case err != nil:
+			if failing {
+				patience = min(2*patience, patienceMost)
 			}
 			failing = true
-			sleep(ctx, watchRetry)
+			w.pause(ctx, watchRetry)
 			continue
 		}
+		patience, backoff = w.check, backoffFirst
 		failing = false
+		if known && !list.Full && list.Version < version { // it has begun anew: what it calls changes would be lost on the list held
+			known = false
+			continue
+		}
 		kind := decide.FleetDelta
 		if list.Full {
 			kind = decide.FleetFull
@@ -155,7 +194,7 @@
 		if list.Full || len(list.Servers) > 0 {
 			w.post(fleetNews{kind, list})
 		} else if time.Since(called) < watchRetry {
-			sleep(ctx, watchRetry) // discovery that does not wait must not be asked without end
+			w.pause(ctx, watchRetry) // discovery that does not wait must not be asked without end
 		}
 		version, known = list.Version, true
 	}
@@ -178,7 +217,11 @@
 	if err != nil {
 		return list, fmt.Errorf("reading the list: %w", err)
 	}
-	if resp.StatusCode != http.StatusOK {
+	switch resp.StatusCode {
+	case http.StatusOK:
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		return list, fmt.Errorf("%w: %s", errOverbooked, resp.Status)
+	default:
 		return list, fmt.Errorf("discovery answered %s", resp.Status)
 	}
 	if err := json.Unmarshal(raw, &list); err != nil {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -55,7 +55,7 @@
 		defer l.peers.conn.Close()
 		wg.Go(func() { l.peers.read(l.in.post, log) })
 	}
-	wg.Go(func() { follow(inner, cfg.Discovery, moves, l.in.post, log) })
+	wg.Go(func() { follow(inner, cfg.Discovery, cfg.Known, moves, l.in.post, log) })
 	wg.Go(func() { acceptClients(inner, ln, l.ahead, l.in.post, log) })
 	wg.Go(func() {
 		select {
--- a/internal/gateway/told_test.go
+++ b/internal/gateway/told_test.go
@@ -177,3 +177,92 @@
 		}
 	}
 }
+
+// Discovery that turns calls away is asked ever more seldom, at times that differ from gateway to gateway, and by
+// the watch itself, which goes on from the list that the gateway was started with. Asked again at once by every
+// gateway of a fleet, it would never get out of that.
+func TestOverbookedDiscoveryIsSpared(t *testing.T) {
+	const refusals = 8
+	calls := make(chan string, refusals+1)
+	n := 0
+	web := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		calls <- req.URL.RawQuery
+		if n++; n <= refusals { // calls come one after the other
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		<-req.Context().Done()
+	}))
+	defer web.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	w := newWatcher(netip.MustParseAddrPort(strings.TrimPrefix(web.URL, "http://")), func(event) {}, slog.New(slog.DiscardHandler))
+	w.known, w.version = true, 41
+	pauses := make(chan time.Duration, refusals)
+	w.pause = func(_ context.Context, d time.Duration) { pauses <- d }
+	go w.run(ctx)
+	want := fmt.Sprintf("after=41&wait_ms=%d", watchWait.Milliseconds())
+	for range refusals + 1 {
+		if got := <-calls; got != want {
+			t.Errorf("call %q, want %q", got, want)
+		}
+	}
+	seen := map[time.Duration]bool{}
+	for i := range refusals {
+		d, most := <-pauses, min(backoffFirst<<i, backoffMost)
+		if seen[d] = true; d < most/2 || d > most {
+			t.Errorf("pause %d is %v, want %v to %v", i, d, most/2, most)
+		}
+	}
+	if len(seen) == 1 {
+		t.Error("all pauses are alike")
+	}
+}
+
+// A gateway without a list gives each call for it more time than the one before: on a call that was given up
+// discovery has worked in vain, and the next would wait in the same line.
+func TestWholeListIsWaitedForLonger(t *testing.T) {
+	const line = 50 * time.Millisecond // that calls wait in at discovery
+	web := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		select {
+		case <-time.After(line):
+			fmt.Fprint(w, `{"version":41,"full":true,"servers":[]}`)
+		case <-req.Context().Done():
+		}
+	}))
+	defer web.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	told := make(chan event, 1)
+	w := newWatcher(netip.MustParseAddrPort(strings.TrimPrefix(web.URL, "http://")), func(e event) { told <- e }, slog.New(slog.DiscardHandler))
+	w.check, w.pause = line/16, func(context.Context, time.Duration) {}
+	go w.run(ctx)
+	if n := (<-told).(fleetNews); n.kind != decide.FleetFull {
+		t.Errorf("told %+v, want the whole list", n)
+	}
+}
+
+// Discovery whose versions are behind the list that the gateway was started with has begun anew, so the whole list
+// is asked for: a watch from a version that it never reaches would tell nothing.
+func TestDiscoveryThatBeganAnewIsAskedForAll(t *testing.T) {
+	web := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		switch req.URL.RawQuery {
+		case "":
+			fmt.Fprint(w, `{"version":9,"full":true,"servers":[]}`)
+		case "after=41&wait_ms=4000":
+			fmt.Fprint(w, `{"version":9,"full":false,"servers":[]}`)
+		default:
+			<-req.Context().Done()
+		}
+	}))
+	defer web.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	told := make(chan event, 1)
+	w := newWatcher(netip.MustParseAddrPort(strings.TrimPrefix(web.URL, "http://")), func(e event) { told <- e }, slog.New(slog.DiscardHandler))
+	w.known, w.version = true, 41
+	go w.run(ctx)
+	if n := (<-told).(fleetNews); n.kind != decide.FleetFull || n.list.Version != 9 {
+		t.Errorf("told %+v, want the whole list of version 9", n)
+	}
+}
