--- a/decide/decide.go
+++ b/decide/decide.go
@@ -77,7 +77,7 @@
 	aimMargin  = 6 * time.Millisecond    // an answer must be back at the client within the aim
 	overdueX   = 4.0                     // times its estimate: an attempt is overdue
 	overdueMin = 150 * time.Millisecond
-	budgetPart = 0.05 // further attempts a first attempt, by this much the retry budget grows: what is overdue in a jam adds to it ...
+	budgetPart = 0.05 // further attempts a first attempt, by this much the retry budget grows ...
 	budgetMost = 10.0 // ... up to this many
 	openFree   = 4.0  // attempts out that press nobody where evidence is thin: one alone says nothing
 	shedFrom   = 0.25 // of the cap on open work, where the least worth work is shed
