Prefer servers to which a connection stands idle, where connections are priced

A gateway of eighty sends about ten requests a second to sixty servers, so it came to each every six seconds, and each cancelled attempt ends a connection. It also learnt little of any server: its own two last answers and what peers told.

At fault: choose in decide/decide.go took the better of two at random of all servers. Now, where evidence is thin and connections have a price, it takes the better of two to which one stands idle, as outcomes tell, and one other, whose estimate counts 2.5 times: enough to leave a server that got slow, not for chance. It looks at 64 servers, not 16. How long an idle connection is kept goes to the module with the limits; the pool uses the same figure.

--- a/decide/api.go
+++ b/decide/api.go
@@ -73,6 +73,7 @@
 	RetryAfter     bool
 	MaxRetryAfter  time.Duration
 	ConnectTimeout time.Duration
+	ConnKept       time.Duration // a connection to a server that nothing uses is kept for so long
 }
 
 // Safety holds the figures of the rules.
@@ -88,7 +89,7 @@
 
 // Prices are points taken off the result, each for one unit of what it names.
 type Prices struct {
-	CrossZone, Waste, Probe, Peer, LateFail, Counter float64
+	CrossZone, Waste, Probe, Peer, LateFail, Counter, Handshake float64
 }
 
 // Config is all that a gateway is told when it starts.
--- a/decide/cold_test.go
+++ b/decide/cold_test.go
@@ -47,3 +47,47 @@
 		t.Errorf("the cold server got %d in 2 s, a warm one %v: want some, %v at most", cold, usual, most)
 	}
 }
+
+// TestStandingConnectionsAreUsed: a gateway that sees few requests for its many servers keeps to those to which a
+// connection stands idle where connections have a price, and leaves those that got slow for others.
+func TestStandingConnectionsAreUsed(t *testing.T) {
+	const requests, servers, kept = 300, 60, 10 * time.Second
+	play := func(price float64) (made, slow int) {
+		var list []Server
+		for i := range servers {
+			list = append(list, Server{ID: fmt.Sprint("s", i), Zone: "a"})
+		}
+		r := newRig(t, func(c *Config) {
+			c.Prices.Handshake, c.Limits.ConnKept = price, kept
+			c.Limits.Peers = false // the quota is no matter here
+		}, list...)
+		used, gotSlow := map[string]time.Duration{}, map[string]bool{}
+		for n := range requests {
+			if r.now += 100 * ms; n == requests/3 {
+				for id := range used {
+					gotSlow[id] = true
+				}
+			}
+			id, s := r.send("get", "wide")
+			if at, ok := used[s.Server]; !ok || r.now-at > kept {
+				made++
+			}
+			used[s.Server] = r.now
+			took := 50 * ms
+			if gotSlow[s.Server] {
+				took = 400 * ms
+				slow += b2i(n >= requests/2)
+			}
+			r.do(AttemptEnded{ID: id, Server: s.Server, Outcome: OK, Took: took, Done: true})
+		}
+		return made, slow
+	}
+	free, _ := play(0)
+	priced, slow := play(0.08)
+	if priced*3 > free {
+		t.Errorf("%d connections where they are priced, %d where not", priced, free)
+	}
+	if slow > requests/10 {
+		t.Errorf("%d of the last %d requests went to servers that had got slow", slow, requests/2)
+	}
+}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -59,6 +59,7 @@
 	firstGuess = 0.2             // of the aim: the usual time before any answer
 	slowMemory = 2 * time.Second // slowness fades at least so slowly: the unused get another look
 	crossZone  = 1.03            // factor on the estimate of a server in another zone
+	freshConn  = 2.5             // factor on one without a connection, where that is priced
 	coldMargin = 0.5             // of the cold budget is used: costs vary and others' traffic is guessed
 	memoryOf   = 4.0             // answers of a server are how long its slowness is known ...
 	memoryMost = 20.0            // ... in seconds, this at most
@@ -66,7 +67,7 @@
 	missGain   = 0.25            // gain of a server's share of a class's requests that it leaves or fails
 	newsOf     = 3               // sights that a word carries: twice as many made the flow react to chance
 	missNear   = 0.2             // over the least such share: as good as the best
-	lookAt     = 16              // servers, from a random one on, are looked at for a request
+	lookAt     = 64              // servers, from a random one on, are looked at for a request
 )
 
 // Attempts.
@@ -639,7 +640,10 @@
 
 // choose takes the server with the least estimate; last is the one that failed the request before. Where
 // answers of a server are too rare to know its load, it takes the better of two at random, of those that fail
-// the class little more than the best looked at: all would else run to the same few servers.
+// the class little more than the best looked at: all would else run to the same few servers. Where
+// connections are priced, it takes them from those to which one stands idle, and one other: a gateway of a
+// large fleet would else come to each server so seldom that it makes a connection for every third request,
+// and learns little of any.
 func (g *Gateway) choose(r *request, last *server) (*server, float64) {
 	var found [lookAt]*server
 	best, n, least, cost := (*server)(nil), 0, 1.0, 0.0
@@ -652,15 +656,23 @@
 		n++
 		least = min(least, g.missed(s, r.class))
 	}
-	most := n
+	most, fresh := n, n
 	if g.thin() == 1 {
-		most = 2
+		if most = 2; g.cfg.Prices.Handshake > 0 {
+			fresh = 1
+		}
 	}
 	for _, s := range found[:n] {
 		miss := g.missed(s, r.class)
 		if miss > least+missNear || most == 0 {
 			continue
 		}
+		if !g.connected(s) {
+			if fresh == 0 {
+				continue
+			}
+			fresh--
+		}
 		most--
 		c := g.estimate(s, r.class) / max(0.2, 1-miss) * (1 + 0.02*g.rng.Float64())
 		if s.Zone != g.cfg.Zone {
@@ -669,6 +681,9 @@
 		if s == last {
 			c *= 3
 		}
+		if g.cfg.Prices.Handshake > 0 && !g.connected(s) {
+			c *= freshConn
+		}
 		if best == nil || c < cost {
 			best, cost = s, c
 		}
@@ -679,6 +694,11 @@
 	return best, g.estimate(best, r.class)
 }
 
+// connected reports whether a connection to the server is likely to stand idle.
+func (g *Gateway) connected(s *server) bool {
+	return s.kept > 0 && g.now-s.keptAt < g.cfg.Limits.ConnKept
+}
+
 // thin is 1 where this gateway sees fewer answers in its memory than there are servers, and less where more.
 func (g *Gateway) thin() float64 {
 	return min(1, g.all.serving/max(g.done.get(g.now)*partMemory.Seconds(), 1))
@@ -779,6 +799,10 @@
 	}
 	wait := max(overdueMin, time.Duration(overdueX*g.estimate(s, r.class)*float64(time.Second)))
 	s.out++
+	if !g.connected(s) {
+		s.kept = 0
+	}
+	s.kept = max(0, s.kept-1)
 	g.all.open++
 	s.sends.add(g.now, 1)
 	g.do(Send{r.ID, s.ID, max(r.until-g.now, time.Millisecond)})
@@ -862,6 +886,9 @@
 // judge takes what an outcome says of its server.
 func (g *Gateway) judge(r *request, a *attempt, e AttemptEnded) {
 	s := a.server
+	if e.Outcome <= Full { // answered: its connection is free again; all other outcomes end it
+		s.kept, s.keptAt = s.kept+1, g.now
+	}
 	switch e.Outcome {
 	case OK:
 		s.lastGood = g.now
--- a/decide/state.go
+++ b/decide/state.go
@@ -115,6 +115,8 @@
 	miss               []rate          // by class: share left or failed, and when that was known
 	short              uint64          // its name in messages
 	sends              rate
+	kept               int           // connections that stand idle, as far as outcomes tell ...
+	keptAt             time.Duration // ... since then at the longest
 	lastGood, budgetAt time.Duration
 	budget             float64 // cold budget, in requests
 	coldUntil          time.Duration
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -15,7 +15,6 @@
 
 const (
 	perServerMost = 64      // connections to one server, open or being made
-	idlePart      = 3       // an idle connection is retired after this part of the servers' idle limit
 	readFirst     = 1 << 10 // bytes of a connection's first read buffer
 	// What a server sends right behind an answer, such as a second copy, is on its way as long as the answer was,
 	// give or take the network's jitter. A connection that has stood for this long with nothing in the kernel is
@@ -77,7 +76,7 @@
 
 func newPool(l *loop, cfg Config) pool {
 	return pool{l: l, servers: map[string]*upstream{}, most: upstreamSockets(cfg.Sockets),
-		dialFor: cfg.Settings.Decide.Limits.ConnectTimeout, idleFor: cfg.Settings.ConnIdle / idlePart}
+		dialFor: cfg.Settings.Decide.Limits.ConnectTimeout, idleFor: cfg.Settings.Decide.Limits.ConnKept}
 }
 
 // update takes an entry of the list. The id is the server; its address and its process may change.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -42,7 +42,7 @@
 		ColdFrom, FallMultiple                                   float64
 	}
 	Prices struct {
-		CrossZone, Waste, Probe, Peer, LateFail float64
+		CrossZone, Waste, Probe, Peer, LateFail, Handshake float64
 	}
 	Telemetry            struct{ How string }
 	Rank, Instances      int
@@ -51,11 +51,14 @@
 
 // Settings is what a host of the decision module needs to know.
 type Settings struct {
-	Decide   decide.Config
-	ConnIdle time.Duration // a server closes a connection that has stood idle for so long
-	OpenCap  int           // requests open at once; 0: no limit
+	Decide  decide.Config
+	OpenCap int // requests open at once; 0: no limit
 }
 
+// An idle connection is retired after this part of the time after which servers close it at the latest: a request
+// that meets the close would end as a reset.
+const idlePart = 3
+
 // FieldOf names the field at which decoding stopped.
 func FieldOf(err error) error {
 	var t *json.UnmarshalTypeError
@@ -72,7 +75,7 @@
 		return Settings{}, FieldOf(err)
 	}
 	c, err := s.config()
-	return Settings{Decide: c, ConnIdle: time.Duration(s.Limits.ConnIdleNs), OpenCap: s.Limits.OpenCap}, err
+	return Settings{Decide: c, OpenCap: s.Limits.OpenCap}, err
 }
 
 func (s *wire) config() (decide.Config, error) {
@@ -83,13 +86,14 @@
 	c.Limits = decide.Limits{MaxAttempts: s.Limits.SendCap, Parallel: s.Limits.ParallelTries,
 		Cancel: s.Limits.MayCancel, Peers: s.Limits.Peers, Probes: s.Limits.Probes,
 		RetryAfter: s.Limits.RetryAfter, MaxRetryAfter: time.Duration(s.Limits.MaxRetryAfterNs),
-		ConnectTimeout: time.Duration(s.Limits.ConnectTimeoutNs)}
+		ConnectTimeout: time.Duration(s.Limits.ConnectTimeoutNs),
+		ConnKept:       time.Duration(s.Limits.ConnIdleNs) / idlePart}
 	c.Safety = decide.Safety{AnswerSlack: time.Duration(s.Safety.AnswerSlackNs),
 		DrainGrace: time.Duration(s.Safety.DrainGraceNs), ColdFrom: s.Safety.ColdFrom,
 		ColdFor: time.Duration(s.Safety.ColdNs), FallMultiple: s.Safety.FallMultiple,
 		FallWindow: time.Duration(s.Safety.FallNs), AskWithin: time.Duration(s.Safety.AskWithinNs)}
 	c.Prices = decide.Prices{CrossZone: s.Prices.CrossZone, Waste: s.Prices.Waste, Probe: s.Prices.Probe,
-		Peer: s.Prices.Peer, LateFail: s.Prices.LateFail, Counter: s.Extra.CounterPrice}
+		Peer: s.Prices.Peer, LateFail: s.Prices.LateFail, Handshake: s.Prices.Handshake, Counter: s.Extra.CounterPrice}
 	effects := map[string]decide.Effect{"safe": decide.Safe, "keyed": decide.Keyed, "unsafe": decide.Unsafe}
 	groups := map[string]decide.Group{"all": decide.GroupAll, "zone": decide.GroupZone,
 		"cell": decide.GroupCell, "": decide.GroupCell}
