Stop orderly: see clients leave, count who came in, fail what hangs, then close

Ruled out: a lost wake of the reader (the mark is set before the deadline, and the reader sets its own deadline before it looks at the mark).

One that the listener had taken, and that stood in the inbox as the last other connection ended, was lost with its request. The listener's goroutine now tells that it has ended, behind its last connection. - reader.go, run: a weaned connection's reader stopped while a request was open, so the loop never learnt that the client had left, and a connection to a server that came up later carried the request. Commands behind it stayed unread till SIGKILL. The reader now stops only once nothing is owed, and is woken when that is so. - run.go, stop: what hung at a server was cut without an answer after 10 s; SIGKILL comes after 3.7 s at the latest the platform promises. It is failed 0.2 s before that, and what is taken after the stop is due by then as well. - clients.go, endIfDone: closing with unread input resets the connection, which can destroy the answer before it. The sending side is ended first and the connection closed 150 ms later; one that lingers makes room first.

--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -17,6 +17,9 @@
 	clientWrite  = 2 * time.Second // a client that takes nothing for so long is given up
 	faultWithin  = time.Second     // a connection that can't be read any more ends after this, whatever is open on it
 	acceptAhead  = 16              // connections that may be taken before the loop has counted them
+	// A connection on which a command waits unread is reset as it is closed, and the reset may overtake or destroy
+	// the answers before it. So the gateway ends its sending first, and closes when those have arrived.
+	lingerFor = 150 * time.Millisecond
 )
 
 // slot holds the place of an answer among those of its connection.
@@ -34,9 +37,10 @@
 	used    time.Duration
 	owed    atomic.Int32 // answers that the reader counts on the loop to give
 	resume  chan struct{}
-	weaned  atomic.Bool // no further command is waited for
+	weaned  atomic.Bool // no further command is waited for once all is answered
 	ending  bool        // to be closed once all is answered
 	read    bool        // nothing more is read from it
+	ended   bool        // nothing more is sent on it either
 	closed  bool
 }
 
@@ -108,10 +112,15 @@
 
 // evictClient makes room for a new connection by closing the one that has been quiet for longest. (Closing those
 // that have not asked yet in its place was measured: in a crowd of newcomers it is they who are about to ask.) If
-// all are owed answers nothing is closed, and the new one takes from the servers' share of descriptors.
+// all are owed answers nothing is closed, and the new one takes from the servers' share of descriptors. One that only
+// lingers goes first.
 func (l *loop) evictClient() {
 	var quiet *client
 	for c := range l.clients {
+		if c.ended {
+			l.closeClient(c)
+			return
+		}
 		if len(c.slots) == 0 && !c.busy && !c.ending && (quiet == nil || c.used < quiet.used) {
 			quiet = c
 		}
@@ -121,11 +130,17 @@
 	}
 }
 
-// wean ends a connection between requests: its reader stops once nothing more waits in the kernel, and when what
-// it had read is answered the connection is closed. Closing at once would lose a request that has come.
+// wean ends a connection between requests: its reader stops once nothing is owed and nothing more waits in the
+// kernel. Closing at once would lose a request that has come; a reader that stopped while answers are owed would
+// not see the client leave.
 func (l *loop) wean(c *client) {
 	c.ending = true
 	c.weaned.Store(true)
+	l.wakeReader(c)
+}
+
+// wakeReader makes the reader of a weaned connection look whether it can stop.
+func (l *loop) wakeReader(c *client) {
 	if err := c.conn.SetReadDeadline(time.Unix(1, 0)); err != nil {
 		l.closeClient(c) // already broken
 	}
@@ -154,6 +169,9 @@
 		}
 	}
 	l.push(c)
+	if n > 0 && !c.closed && len(c.slots) == 0 && c.weaned.Load() {
+		l.wakeReader(c)
+	}
 	l.endIfDone(c)
 }
 
@@ -202,9 +220,16 @@
 
 // endIfDone closes a connection whose reader has stopped and on which nothing is owed.
 func (l *loop) endIfDone(c *client) {
-	if c.read && !c.closed && len(c.slots) == 0 && !c.busy && len(c.backlog) == 0 {
-		l.closeClient(c)
+	if !c.read || c.ended || c.closed || len(c.slots) > 0 || c.busy || len(c.backlog) > 0 {
+		return
+	}
+	c.ended = true
+	half, ok := c.conn.(interface{ CloseWrite() error })
+	if !ok || half.CloseWrite() != nil {
+		l.closeClient(c) // already broken
+		return
 	}
+	l.at(l.clock.now()+lingerFor, func() { l.closeClient(c) })
 }
 
 // closeClient ends a connection. What was open on it is over: no one waits for it any more.
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -141,7 +141,9 @@
 	limits   clientLimits
 	ahead    chan struct{} // holds one for each connection that was taken and is not counted yet
 	held     int           // bytes of the commands of open requests
-	closing  bool
+	stopBy   time.Duration // 0, or when the last answers are due, as the gateway has been told to stop
+	closing  bool          // the listener is closed, and so are connections once nothing is owed on them
+	accepted bool          // all connections that the listener took have been counted
 	restarts int
 }
 
@@ -337,6 +339,9 @@
 	l.ids[cmd.id()] = struct{}{}
 	l.held += cmd.size()
 	deadline := cmd.came + min(cmd.wait, cmd.limit) - deadlineMargin
+	if l.stopBy > 0 {
+		deadline = min(deadline, l.stopBy)
+	}
 	r.overdue = l.at(deadline+overdueAfter, func() { l.overdue(r) })
 	ev := cmd.req
 	ev.ID, ev.Deadline = r.id, deadline
@@ -350,6 +355,11 @@
 		return
 	}
 	l.log.Error("a request was left open past its deadline", "class", r.cmd.req.Class, "attempts", len(r.attempts))
+	l.fail(r)
+}
+
+// fail ends a request without the module's word.
+func (l *loop) fail(r *request) {
 	l.answer(r, redcon.AppendError(nil, "ERR failed"))
 	l.feed(decide.ClientGone{ID: r.id})
 }
--- a/internal/gateway/reader.go
+++ b/internal/gateway/reader.go
@@ -41,7 +41,8 @@
 	for {
 		by := r.deadline()
 		err := r.c.conn.SetReadDeadline(by)
-		if r.c.weaned.Load() && len(r.buf) == 0 && r.c.quiet() { // wean sets its mark before its deadline
+		// The loop sets its mark, and takes what it has answered from what is owed, before it sets its deadline.
+		if r.c.weaned.Load() && len(r.buf) == 0 && r.c.owed.Load() == 0 && r.c.quiet() {
 			r.hand(commands{last: true})
 			return
 		}
--- a/internal/gateway/rig_test.go
+++ b/internal/gateway/rig_test.go
@@ -276,3 +276,5 @@
 	l.ahead <- struct{}{}
 	joined{c}.apply(l)
 }
+
+func mustAddr(addr string) netip.AddrPort { return netip.MustParseAddrPort(addr) }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 )
@@ -24,7 +25,11 @@
 const (
 	acceptOn = 500 * time.Millisecond // after the stop: the front goes on sending new connections for a while
 	lastCall = 200 * time.Millisecond // for a connection that came in as the listener closed
-	stopMost = 10 * time.Second       // after that, what is still owed is failed
+	// The platform kills a gateway that it has told to stop once the longest deadline (no more than stopWait of it)
+	// and stopOver have passed. What is owed by then would be lost, so it is failed stopEarly before.
+	stopWait  = 3 * time.Second
+	stopOver  = 700 * time.Millisecond
+	stopEarly = 200 * time.Millisecond
 )
 
 // Run serves until the context ends; then it takes what still comes for a moment, answers all that it has
@@ -56,7 +61,10 @@
 		wg.Go(func() { l.peers.read(l.in.post, log) })
 	}
 	wg.Go(func() { follow(inner, cfg.Discovery, cfg.Known, moves, l.in.post, log) })
-	wg.Go(func() { acceptClients(inner, ln, l.ahead, l.in.post, log) })
+	wg.Go(func() {
+		acceptClients(inner, ln, l.ahead, l.in.post, log)
+		l.in.post(acceptEnded{}) // behind all connections that it took
+	})
 	wg.Go(func() {
 		select {
 		case <-ctx.Done():
@@ -77,20 +85,48 @@
 
 func (s stop) apply(l *loop) {
 	now := l.clock.now()
+	l.stopBy = now + l.stopGrace()
 	l.log.Info("stopping", "open", len(l.requests))
-	l.at(now+acceptOn, func() {
+	l.at(min(now+acceptOn, l.stopBy), func() {
 		s.ln.Close()
 		l.closing = true
 		for c := range l.clients {
 			l.wean(c)
 		}
 	})
-	l.at(now+stopMost, func() {
-		for c := range l.clients {
-			l.closeClient(c)
+	l.at(l.stopBy, l.stopAll)
+}
+
+// stopGrace is how long after the stop answers can still be given.
+func (l *loop) stopGrace() time.Duration {
+	longest := time.Duration(0)
+	for i := range l.cfg.Settings.Decide.Classes {
+		longest = max(longest, l.cfg.Settings.Decide.Classes[i].Deadline)
+	}
+	if longest <= 0 {
+		longest = stopWait
+	}
+	return min(longest, stopWait) + stopOver - stopEarly
+}
+
+// stopAll fails what is still owed, such as requests at servers that hang, and ends all connections.
+func (l *loop) stopAll() {
+	l.closing = true
+	for c := range l.clients {
+		for _, s := range slices.Clone(c.slots) {
+			if s.req != nil {
+				l.fail(s.req)
+			}
 		}
-	})
+		c.read = true
+		l.endIfDone(c)
+	}
 }
 
-// finished reports that the gateway is stopping and owes nothing.
-func (l *loop) finished() bool { return l.closing && len(l.clients) == 0 }
+// acceptEnded tells that no further connection will come.
+type acceptEnded struct{}
+
+func (acceptEnded) apply(l *loop) { l.accepted = true }
+
+// finished reports that the gateway is stopping and owes nothing: no connection is open or still to be counted.
+func (l *loop) finished() bool { return l.closing && l.accepted && len(l.clients) == 0 }
