Hear discovery before the first request, and keep asking an agent that is silent

Found by reading the watch line by line.

- run.go, serve: the listener's goroutine began at once, so the first requests were decided on the old list.
They now wait until discovery has answered, or 100 ms: an agent answers at once, and has nothing new where it keeps silent.
It is still one call a start.
TestStartHearsDiscoveryFirst fails without this: the draining server got the request.
- discovery.go, run: each call in vain doubled the next one's time, to 2 s.
That spares discovery which serves the fleet; an agent is silent while discovery is down and what it gets at the return counts at once, so a call that hangs over the return could cost seven times the grace.
With an agent the time stays 250 ms.
TestPatienceWithDiscovery.
- run.go, Run: a stop before the listener is there ended with an error.
TestStopBeforeTheStart.

Guards that showed no fault: silent discovery at the start; a watch that is reset, then an indented list.

--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"os"
 	"strconv"
+	"time"
 
 	"winghatch/decide"
 	"winghatch/internal/settings"
@@ -27,6 +28,7 @@
 	Peers      []netip.AddrPort // by the gateways' numbers
 	Known      serverList       // as this gateway last had it
 	Settings   settings.Settings
+	hearFor    time.Duration // what discovery has to tell at the start is waited for so long; 0: hearFirst
 }
 
 // fileConfig is the form of the configuration file.
--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -21,10 +21,13 @@
 	watchOver  = 500 * time.Millisecond // ... and is given up so long after: discovery that is down says nothing
 	checkFirst = 250 * time.Millisecond // a call that need not wait is given up after this, at first
 	watchRetry = 50 * time.Millisecond
-	listMost   = 8 << 20 // bytes of a list
+	hearFirst  = 100 * time.Millisecond // a gateway that starts waits so long for news before it takes clients in
+	listMost   = 8 << 20                // bytes of a list
 
 	// A call that is given up has been in vain for discovery too, which works on it all the same. So the next one
-	// waits longer: a fleet that gives up too soon keeps a line at discovery that nobody gets through.
+	// waits longer: a fleet that gives up too soon keeps a line at discovery that nobody gets through. Where lists are
+	// pushed an agent of the gateway's own answers at once, or not at all while discovery is down, and what it gets
+	// at the return counts as told: there the next call must not wait for longer.
 	patienceMost = 2 * time.Second
 
 	// Discovery serves the whole fleet. While it has more calls than it can take it turns them away or lets them
@@ -101,10 +104,12 @@
 	wait    time.Duration // of a watch
 	over    time.Duration // past its wait a call is given up
 	check   time.Duration // a call that does not wait is given up, at first
+	agent   bool          // lists are pushed to an agent, which is asked here
 	known   bool          // the list is held already, as of the version
 	version uint64
 	pause   func(context.Context, time.Duration)
 	post    func(event)
+	heard   func() // discovery has answered, and what it said is posted
 	log     *slog.Logger
 }
 
@@ -112,7 +117,7 @@
 	transport := &http.Transport{DialContext: (&net.Dialer{Timeout: watchOver}).DialContext,
 		MaxIdleConns: 1, DisableCompression: true}
 	return &watcher{client: &http.Client{Transport: transport}, base: "http://" + addr.String() + "/v1/servers",
-		wait: watchWait, over: watchOver, check: checkFirst, pause: sleep, post: post, log: log}
+		wait: watchWait, over: watchOver, check: checkFirst, pause: sleep, post: post, heard: func() {}, log: log}
 }
 
 // follow watches discovery at an address, and from each move on at the new one. A move calls off what waits at
@@ -122,10 +127,12 @@
 //
 // At the start the watch goes on from the list that the gateway was started with, if that is a whole one: a fleet
 // that is restarted at once would else ask for every list twice, whole and then to be watched.
-func follow(ctx context.Context, addr netip.AddrPort, held serverList, moves <-chan netip.AddrPort, post func(event), log *slog.Logger) {
+func follow(ctx context.Context, cfg Config, moves <-chan netip.AddrPort, post func(event), heard func(), log *slog.Logger) {
+	addr, held := cfg.Discovery, cfg.Known
 	for ctx.Err() == nil {
 		at, cancel := context.WithCancel(ctx)
 		w, ended := newWatcher(addr, post, log), make(chan struct{})
+		w.agent, w.heard = !cfg.Settings.Decide.Subscribe, heard
 		w.known, w.version = held.Full && len(held.Servers) > 0, held.Version
 		held = serverList{}
 		go func() {
@@ -175,7 +182,7 @@
 			continue
 		case err != nil:
 			if failing {
-				patience = min(2*patience, patienceMost)
+				patience = w.longer(patience)
 			}
 			failing = true
 			w.pause(ctx, watchRetry)
@@ -193,13 +200,22 @@
 		}
 		if list.Full || len(list.Servers) > 0 {
 			w.post(fleetNews{kind, list})
-		} else if time.Since(called) < watchRetry {
+			w.heard()
+		} else if w.heard(); time.Since(called) < watchRetry {
 			w.pause(ctx, watchRetry) // discovery that does not wait must not be asked without end
 		}
 		version, known = list.Version, true
 	}
 }
 
+// longer is how long the next call that does not wait is given, after one that had so long in vain.
+func (w *watcher) longer(patience time.Duration) time.Duration {
+	if w.agent {
+		return patience
+	}
+	return min(2*patience, patienceMost)
+}
+
 func (w *watcher) fetch(ctx context.Context, url string, within time.Duration) (serverList, error) {
 	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -37,6 +38,9 @@
 func Run(ctx context.Context, cfg Config, moves <-chan netip.AddrPort, log *slog.Logger) error {
 	var lc net.ListenConfig
 	ln, err := lc.Listen(ctx, "tcp", cfg.Listen.String())
+	if err != nil && ctx.Err() != nil {
+		return nil // told to end before it took anything
+	}
 	if err != nil {
 		return fmt.Errorf("listening for clients: %w", err)
 	}
@@ -60,8 +64,22 @@
 		defer l.peers.conn.Close()
 		wg.Go(func() { l.peers.read(l.in.post, log) })
 	}
-	wg.Go(func() { follow(inner, cfg.Discovery, cfg.Known, moves, l.in.post, log) })
+	heard := make(chan struct{}, 1)
+	wg.Go(func() {
+		follow(inner, cfg, moves, l.in.post, func() {
+			select {
+			case heard <- struct{}{}:
+			default:
+			}
+		}, log)
+	})
 	wg.Go(func() {
+		// The list that the gateway was started with may be old. What discovery has told since counts from the first
+		// moment, so it is heard before the first request is taken, or nothing new if it has nothing to say.
+		select {
+		case <-heard:
+		case <-time.After(cmp.Or(cfg.hearFor, hearFirst)):
+		}
 		acceptClients(inner, ln, l.ahead, l.in.post, log)
 		l.in.post(acceptEnded{}) // behind all connections that it took
 	})
--- /dev/null
+++ b/internal/gateway/watch_test.go
@@ -0,0 +1,176 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+)
+
+// A gateway that has just started hears what discovery has told since its list was written before it sends a
+// request on: the request had come before the first call was even answered.
+func TestStartHearsDiscoveryFirst(t *testing.T) {
+	b := newBackend(t)
+	cfg := testConfig(t, long, entries("up", b))
+	cfg.hearFor = patience
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	called, answer := make(chan struct{}, 1), make(chan struct{})
+	web := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		if req.URL.Query().Get("after") != "1" {
+			<-req.Context().Done() // the watch that goes on
+			return
+		}
+		called <- struct{}{}
+		<-answer
+		json.NewEncoder(w).Encode(serverList{Version: 2, Servers: entries("draining", b)})
+	}))
+	t.Cleanup(func() {
+		web.CloseClientConnections()
+		web.Close()
+	})
+	cfg.Discovery = mustAddr(strings.TrimPrefix(web.URL, "http://"))
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	conn, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	if _, err := conn.Write([]byte(asked("id"))); err != nil { // it waits before the gateway has begun
+		t.Fatal(err)
+	}
+	go serve(ctx, cfg, nil, ln, slog.New(slog.DiscardHandler))
+	<-called
+	select {
+	case x := <-b.got:
+		t.Errorf("the server got %q before discovery was heard", x.args)
+	case <-time.After(20 * time.Millisecond): // enough for one that does not wait; one that waits passes at any speed
+	}
+	close(answer)
+	if err := conn.SetDeadline(time.Now().Add(patience)); err != nil {
+		t.Fatal(err)
+	}
+	reply := make([]byte, 64)
+	n, err := conn.Read(reply)
+	if got := string(reply[:n]); err != nil || !strings.HasPrefix(got, "-BUSY") {
+		t.Errorf("got %q, %v, want a refusal", got, err)
+	}
+	if len(b.got) > 0 {
+		t.Errorf("the draining server got %q", (<-b.got).args)
+	}
+}
+
+// Discovery that is silent at the start holds nobody up for long: the gateway serves with the list that it has.
+func TestSilentDiscoveryDoesNotHoldTheStart(t *testing.T) {
+	b, silent := newBackend(t), newBackend(t)
+	cfg := testConfig(t, long, entries("up", b))
+	cfg.Discovery = mustAddr(silent.addr)
+	cfg.hearFor = time.Millisecond
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go serve(ctx, cfg, nil, ln, slog.New(slog.DiscardHandler))
+	c := (&rig{addr: ln.Addr().String()}).dial(t)
+	c.look("id")
+	b.next(t).answer(t, served("v"))
+	c.want("$v")
+}
+
+// Where lists are pushed the agent on the gateway's machine answers at once, and what it gets when discovery
+// returns counts as told: calls in vain must not make the next one wait for longer. A discovery that serves the
+// whole fleet is given more time.
+func TestPatienceWithDiscovery(t *testing.T) {
+	for name, tc := range map[string]struct {
+		agent bool
+		want  time.Duration
+	}{"agent": {true, checkFirst}, "asked": {false, patienceMost}} {
+		w := &watcher{agent: tc.agent}
+		got := checkFirst
+		for range 8 {
+			got = w.longer(got)
+		}
+		if got != tc.want {
+			t.Errorf("%s: a call is given %v after eight in vain, want %v", name, got, tc.want)
+		}
+	}
+}
+
+// A watch that is reset is made anew, the next call tells what was missed, and a list may come indented.
+func TestResetWatchMissesNothing(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	queries := make(chan string, 2)
+	go func() {
+		for n := 0; ; n++ {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { conn.Close() })
+			buf := make([]byte, 4096)
+			k, err := conn.Read(buf)
+			if err != nil {
+				return
+			}
+			line, _, _ := strings.Cut(string(buf[:k]), "\r\n")
+			queries <- line
+			if n == 0 { // a reset, not an end
+				conn.(*net.TCPConn).SetLinger(0)
+				conn.Close()
+				continue
+			}
+			list, err := json.MarshalIndent(serverList{Version: 42, Servers: []serverEntry{{ID: "s", State: "draining", Addr: "127.0.0.1:1"}}}, "\t", "  ")
+			if err != nil {
+				t.Error(err)
+			}
+			http := "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nConnection: close\r\n\r\n"
+			conn.Write(append([]byte(http), append(list, '\n')...))
+			conn.Close()
+			return
+		}
+	}()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	told := make(chan event, 1)
+	w := newWatcher(mustAddr(ln.Addr().String()), func(e event) {
+		select {
+		case told <- e:
+		default:
+		}
+	}, slog.New(slog.DiscardHandler))
+	w.known, w.version, w.agent = true, 41, true
+	w.pause = func(context.Context, time.Duration) {}
+	go w.run(ctx)
+	if n := (<-told).(fleetNews); n.list.Version != 42 || n.list.Servers[0].State != "draining" {
+		t.Errorf("told %+v", n)
+	}
+	if first, second := <-queries, <-queries; !strings.Contains(first, "after=41&wait_ms=4000") || !strings.Contains(second, "after=41&wait_ms=0") {
+		t.Errorf("called %q, then %q", first, second)
+	}
+}
+
+// A gateway that is told to end before it is ready ends without error.
+func TestStopBeforeTheStart(t *testing.T) {
+	cfg := testConfig(t, long, nil)
+	cfg.Listen = mustAddr("127.0.0.1:0")
+	cfg.Discovery = mustAddr(newBackend(t).addr)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	if err := Run(ctx, cfg, nil, slog.New(slog.DiscardHandler)); err != nil {
+		t.Error(err)
+	}
+}
