Read ahead while many answers are owed, so that a client that goes is seen

Ruled out: the loop, which abandons all as soon as it is told.

The reader now holds commands back rather than itself, and goes on reading up to one command's most bytes, which a half-sent command may hold already, so memory keeps its bound. TestClientThatSendsMuchAndGoes fails without this (the end is never seen). TestReadAheadIsHandedOn guards the way back.

--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -12,7 +12,7 @@
 
 const (
 	clientBuffer = 1 << 10         // bytes of a connection's read buffer between commands
-	owedMost     = 64              // answers owed on one connection; further commands wait to be read
+	owedMost     = 64              // answers owed on one connection; beyond these, commands are not handed on
 	backlogMost  = 1 << 20         // bytes of answers that a client leaves unread, before it is given up
 	clientWrite  = 2 * time.Second // a client that takes nothing for so long is given up
 	faultWithin  = time.Second     // a connection that can't be read any more ends after this, whatever is open on it
@@ -35,12 +35,12 @@
 	slots   []*slot // in the order of the commands
 	backlog []byte  // answers behind those that are being written
 	used    time.Duration
-	owed    atomic.Int32 // answers that the reader counts on the loop to give
-	resume  chan struct{}
-	weaned  atomic.Bool // no further command is waited for once all is answered
-	ending  bool        // to be closed once all is answered
-	read    bool        // nothing more is read from it
-	ended   bool        // nothing more is sent on it either
+	owed    atomic.Int32  // answers that the reader counts on the loop to give
+	resume  chan struct{} // tells a reader with a full buffer to look again
+	weaned  atomic.Bool   // no further command is waited for once all is answered
+	ending  bool          // to be closed once all is answered
+	read    bool          // nothing more is read from it
+	ended   bool          // nothing more is sent on it either
 	closed  bool
 }
 
@@ -139,7 +139,7 @@
 	l.wakeReader(c)
 }
 
-// wakeReader makes the reader of a weaned connection look whether it can stop.
+// wakeReader makes a reader look again whether it can stop, or hand on more.
 func (l *loop) wakeReader(c *client) {
 	if err := c.conn.SetReadDeadline(time.Unix(1, 0)); err != nil {
 		l.closeClient(c) // already broken
@@ -153,7 +153,7 @@
 
 // flush writes the answers that are next in order, in one write.
 func (l *loop) flush(c *client) {
-	n := 0
+	n, wake := 0, false
 	for n < len(c.slots) && c.slots[n].ready {
 		c.backlog = append(c.backlog, c.slots[n].reply...)
 		n++
@@ -161,15 +161,17 @@
 	if n > 0 {
 		c.slots = slices.Delete(c.slots, 0, n)
 		c.used = l.clock.now()
-		if before := c.owed.Add(int32(-n)) + int32(n); before >= owedMost {
+		if owed := c.owed.Add(int32(-n)); owed < owedMost && owed+int32(n) >= owedMost {
 			select {
 			case c.resume <- struct{}{}:
 			default:
 			}
+			wake = true
 		}
+		wake = wake || len(c.slots) == 0 && c.weaned.Load()
 	}
 	l.push(c)
-	if n > 0 && !c.closed && len(c.slots) == 0 && c.weaned.Load() {
+	if wake && !c.closed {
 		l.wakeReader(c)
 	}
 	l.endIfDone(c)
--- a/internal/gateway/reader.go
+++ b/internal/gateway/reader.go
@@ -35,17 +35,22 @@
 }
 
 // run reads until the client leaves, breaks the framing or lets a time limit pass. One read deadline holds all
-// limits.
+// limits. While too many answers are owed it reads ahead, up to a command's most: a client that sends much at once
+// and goes would else leave what it sent to be worked on.
 func (r *reader) run() {
 	r.buf, r.since = make([]byte, 0, clientBuffer), time.Now()
 	for {
+		// The loop sets a mark, or takes what it has answered from what is owed, before it sets its own deadline; so
+		// the reader sets this one before it looks at either.
 		by := r.deadline()
 		err := r.c.conn.SetReadDeadline(by)
-		// The loop sets its mark, and takes what it has answered from what is owed, before it sets its deadline.
 		if r.c.weaned.Load() && len(r.buf) == 0 && r.c.owed.Load() == 0 && r.c.quiet() {
 			r.hand(commands{last: true})
 			return
 		}
+		if err == nil {
+			err = r.handOn()
+		}
 		if err == nil {
 			err = r.read()
 		}
@@ -57,8 +62,8 @@
 		case !errors.Is(err, os.ErrDeadlineExceeded):
 			r.post(left{r.c})
 			return
-		case time.Now().Before(by): // woken to be weaned
-		case len(r.buf) == 0 && r.c.owed.Load() > 0: // it waits for answers
+		case time.Now().Before(by): // woken by the loop
+		case r.held(), len(r.buf) == 0 && r.c.owed.Load() > 0: // it waits for answers
 			r.since = time.Now()
 		case len(r.buf) > 0:
 			r.refuse(errLate, false)
@@ -79,34 +84,48 @@
 	return r.since.Add(r.limits.command)
 }
 
-// read takes what has come and hands on the commands that are whole.
+// held reports that so many answers are owed that no further command is handed on.
+func (r *reader) held() bool { return r.c.owed.Load() >= owedMost }
+
+// read takes what has come.
 func (r *reader) read() error {
+	if r.held() && len(r.buf) >= commandMost {
+		<-r.c.resume
+		return nil
+	}
 	if len(r.buf) == cap(r.buf) {
 		r.buf = slices.Grow(r.buf, cap(r.buf))
 	}
 	n, err := r.c.conn.Read(r.buf[len(r.buf):cap(r.buf)])
-	if n == 0 {
-		return err
-	}
-	begins := len(r.buf) == 0
-	r.buf = r.buf[:len(r.buf)+n]
-	got, used, fault := r.split()
-	r.hand(commands{got: got})
-	if fault != nil {
-		return fault
-	}
-	if r.buf = r.buf[:copy(r.buf, r.buf[used:])]; len(r.buf) == 0 && cap(r.buf) > clientBuffer {
-		r.buf = make([]byte, 0, clientBuffer)
-	}
-	if r.heard = r.heard || used > 0; begins || used > 0 {
+	if len(r.buf) == 0 && n > 0 {
 		r.since = time.Now()
 	}
+	r.buf = r.buf[:len(r.buf)+n]
 	return err
 }
 
-// split reads the whole commands that the buffer begins with.
+// handOn hands on the commands that are whole, until too many answers are owed.
+func (r *reader) handOn() error {
+	for len(r.buf) > 0 && !r.held() {
+		got, used, fault := r.split()
+		r.hand(commands{got: got})
+		if fault != nil {
+			return fault
+		}
+		if used == 0 {
+			break
+		}
+		r.heard, r.since = true, time.Now()
+		if r.buf = r.buf[:copy(r.buf, r.buf[used:])]; len(r.buf) == 0 && cap(r.buf) > clientBuffer {
+			r.buf = make([]byte, 0, clientBuffer)
+		}
+	}
+	return nil
+}
+
+// split reads the whole commands that the buffer begins with, as many as may be owed an answer at once.
 func (r *reader) split() (got []received, used int, err error) {
-	for used < len(r.buf) {
+	for used < len(r.buf) && len(got) < owedMost {
 		var n int
 		if n, r.args, err = nextCommand(r.buf[used:], r.args); n == 0 {
 			break
@@ -123,19 +142,14 @@
 	r.hand(commands{got: []received{{reply: reply}}, last: true, fault: fault})
 }
 
-// hand posts commands, and waits while too many answers are owed.
+// hand posts commands.
 func (r *reader) hand(e commands) {
 	if len(e.got) == 0 && !e.last {
 		return
 	}
 	e.c = r.c
-	owed := r.c.owed.Add(int32(len(e.got)))
+	r.c.owed.Add(int32(len(e.got)))
 	r.post(e)
-	for ; owed >= owedMost && !e.last; owed = r.c.owed.Load() {
-		if _, open := <-r.c.resume; !open {
-			break
-		}
-	}
 }
 
 // interpret turns a command into a request, or into its answer.
