Drop a repeat whose connection comes up after the window of its class

The module looks at the window when it chooses a server (decide.go, mayRepeatAt); pool.dialed then wrote the repeat when the connection was there, up to the connect time-out later, when servers may no longer know it for a repeat and it runs twice. Ruled out: unsafe classes (nothing goes out again once an attempt may have run) and attempts on standing connections (written in the same turn).

Send now says until when it may be written, and pool.dialed ends a later one as never run. TestRepeatIsSentInTime and the case "no repeat" of TestLateConnectionCarriesNothing fail without this. TestNothingIsSentForAClientThatLeft guards the module's waits for a client that has left; it showed no fault.

--- a/decide/api.go
+++ b/decide/api.go
@@ -317,6 +317,7 @@
 	Send struct {
 		ID, Server string
 		Timeout    time.Duration // 0: until the client gives up
+		Before     time.Duration // nothing of it may be written after this time; 0: no such limit
 	}
 	// Cancel stops waiting for an attempt.
 	Cancel struct {
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -805,7 +805,7 @@
 	s.kept = max(0, s.kept-1)
 	g.all.open++
 	s.sends.add(g.now, 1)
-	g.do(Send{r.ID, s.ID, max(r.until-g.now, time.Millisecond)})
+	g.do(Send{r.ID, s.ID, max(r.until-g.now, time.Millisecond), r.repeatBy()})
 	if g.now+wait < r.until {
 		g.wake(r.ID, a.n, g.now+wait)
 	}
@@ -932,6 +932,18 @@
 	return true
 }
 
+// repeatBy is when servers cease to drop a repeat of the request, or 0. A connection may come up after that,
+// though there was time when the server was chosen.
+func (r *request) repeatBy() (by time.Duration) {
+	for _, a := range r.attempts[:len(r.attempts)-1] {
+		end := a.at + r.class.Window - aimMargin
+		if r.class.Effect == Keyed && a.ran && (by == 0 || end < by) {
+			by = end
+		}
+	}
+	return by
+}
+
 // giveUp gives the final answer: a refusal where that may be promised, else a failure.
 func (g *Gateway) giveUp(r *request) {
 	mayRun := func(a *attempt) bool { return a.ran }
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -342,6 +342,66 @@
 	}
 }
 
+// TestRepeatIsSentInTime: the host is told until when a repeat may be written, as a connection may come up late; what
+// may not be dropped as a repeat, or can do no harm, has no such limit.
+func TestRepeatIsSentInTime(t *testing.T) {
+	for class, limited := range map[string]bool{"putall": true, "put": true, "get": false} {
+		r := newRig(t, func(c *Config) { c.Limits.Parallel = true })
+		first := r.now
+		id, s := r.send(class, "wide")
+		if s.Before != 0 {
+			t.Errorf("%s: the first attempt is limited to %v", class, s.Before)
+		}
+		r.now += 500 * ms
+		again := find[Send](r.end(id, 0, s.Server, Error))
+		want := time.Duration(0)
+		if limited {
+			want = first + 2*time.Second - aimMargin
+		}
+		if len(again) != 1 || again[0].Before != want {
+			t.Errorf("%s: sent again as %+v, want it limited to %v", class, again, want)
+		}
+	}
+}
+
+// TestNothingIsSentForAClientThatLeft: whatever comes later, a request whose client left while it waited for a home's
+// word, an attempt's end or an overdue one goes nowhere.
+func TestNothingIsSentForAClientThatLeft(t *testing.T) {
+	for name, edit := range map[string]func(*Config){
+		"an attempt": func(c *Config) { c.Limits.Parallel = true },
+		"no cancel":  func(c *Config) { c.Limits.Parallel, c.Limits.Cancel = true, false },
+		"a home":     func(c *Config) { c.Gateways, c.Rank = 300, 4 },
+	} {
+		r := newRig(t, edit)
+		id, acts := r.ask("get", "wide", "x", 1)
+		sent, told := find[Send](acts), find[Tell](acts)
+		r.do(ClientGone{id})
+		var later []Action
+		for _, a := range sent {
+			later = append(later, r.end(id, 0, a.Server, NoConnection)...)
+		}
+		for _, a := range told {
+			w, ok := parseWord(a.Text)
+			if !ok {
+				t.Fatalf("%s: told %q", name, a.Text)
+			}
+			w.kind, w.n, w.v = 'r', 4, [4]float64{1}
+			later = append(later, r.do(PeerMessage{From: a.To, Text: w.text()})...)
+		}
+		if len(sent)+len(told) == 0 {
+			t.Errorf("%s: nothing was waited for: %#v", name, acts)
+		}
+		for _, a := range find[SetTimer](acts) {
+			r.now = max(r.now, a.At)
+			later = append(later, r.do(TimerFired{a.Token})...)
+		}
+		later = append(later, r.do(FleetUpdate{Kind: FleetDelta, Servers: []Server{{ID: "s4", Zone: "a"}}})...)
+		if s := find[Send](later); len(s) > 0 {
+			t.Errorf("%s: sent on after its client left: %#v", name, s)
+		}
+	}
+}
+
 func TestNoServer(t *testing.T) {
 	r := newRig(t, nil, []Server{}...)
 	r.do(FleetUpdate{Kind: FleetFull})
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -407,7 +407,8 @@
 		return
 	}
 	now := l.clock.now()
-	a := &attempt{req: r, n: len(r.attempts), at: now, until: now + s.Timeout, server: l.pool.servers[s.Server]}
+	a := &attempt{req: r, n: len(r.attempts), at: now, until: now + s.Timeout, before: s.Before,
+		server: l.pool.servers[s.Server]}
 	r.attempts = append(r.attempts, a)
 	r.out++
 	if r.done {
--- a/internal/gateway/loop_test.go
+++ b/internal/gateway/loop_test.go
@@ -83,6 +83,7 @@
 		"cancelled": func(l *loop, r *request) { l.pool.cancel(r.attempts[0]) },
 		"timed out": func(l *loop, r *request) { l.pool.expire(r.attempts[0]) },
 		"left":      func(l *loop, r *request) { l.closeClient(r.client) },
+		"no repeat": func(l *loop, r *request) { r.attempts[0].before = l.clock.now() - 1 }, // for servers, any more
 		"draining": func(l *loop, r *request) {
 			l.fleet(decide.FleetDelta, serverList{Version: 2, Servers: []serverEntry{{ID: "s-0", Addr: r.attempts[0].server.addr, State: "draining"}}})
 		},
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -57,7 +57,8 @@
 	n         int
 	server    *upstream // nil: unknown to this gateway
 	at, until time.Duration
-	conn      *upConn // nil until it has one
+	before    time.Duration // nothing of it may be written later, if not 0
+	conn      *upConn       // nil until it has one
 	expiry    *alarm
 	whole     bool // the last byte may have been written
 	over      bool
@@ -210,8 +211,9 @@
 func (d dialed) apply(l *loop) { l.pool.dialed(d) }
 
 // dialed looks again before the first byte: while the connection was made the attempt may have been called
-// off or its request answered, and its server may have been drained or moved. Without this a request would
-// go out after its final answer, or to a server that was told to be let alone.
+// off or its request answered, its server may have been drained or moved, or the time for it may have passed.
+// Without this a request would go out after its final answer, to a server that was told to be let alone, or to
+// one that no longer knows it for a repeat.
 func (p *pool) dialed(d dialed) {
 	a, s := d.a, d.a.server
 	var c *upConn
@@ -243,6 +245,11 @@
 		p.park(c)
 		return
 	}
+	if a.before > 0 && p.l.clock.now() > a.before {
+		p.l.ended(a, decide.NoConnection)
+		p.park(c)
+		return
+	}
 	if !p.write(c, a) {
 		p.l.ended(a, decide.NoConnection)
 	}
