--- a/internal/gateway/crossing_test.go
+++ b/internal/gateway/crossing_test.go
@@ -12,10 +12,7 @@
 // first carries nothing of it.
 func TestPeersCloseBeforeTheSend(t *testing.T) {
 	l := still(t, unreachable(t))
-	r, _ := open(t, l)
-	a := r.attempts[0]
-	near, far := pair(t)
-	dialed{a, a.server.addr, near, nil}.apply(l)
+	a, _, far := attempted(t, l)
 	c := a.conn
 	answered{c, answer{decide.OK, []byte("$1\r\nv\r\n"), true}}.apply(l)
 	if _, err := io.ReadAtLeast(far, make([]byte, 1<<10), 1); err != nil {
@@ -26,7 +23,7 @@
 	for c.quiet() { // until the close has come
 		time.Sleep(time.Millisecond)
 	}
-	second := &attempt{req: &request{id: "second", cmd: r.cmd}, server: a.server, until: l.clock.now() + long}
+	second := &attempt{req: &request{id: "second", cmd: a.req.cmd}, server: a.server, until: l.clock.now() + long}
 	l.pool.start(second)
 	if second.conn != nil || second.over || !c.closed || len(a.server.idle) > 0 {
 		t.Errorf("on the old connection: %v, ended: %v, old one closed: %v", second.conn == c, second.over, c.closed)
--- a/internal/gateway/loop_test.go
+++ b/internal/gateway/loop_test.go
@@ -42,15 +42,21 @@
 	return near, far
 }
 
-// open puts a request into the loop as if it had been read from a connection.
-func open(t *testing.T, l *loop) (*request, net.Conn) {
+// clientOn is a client at the other end of a connection.
+func clientOn(t *testing.T, near net.Conn) *client {
 	t.Helper()
-	near, far := pair(t)
 	out, err := newOutlet(near)
 	if err != nil {
 		t.Fatal(err)
 	}
-	c := newClient(out)
+	return newClient(out)
+}
+
+// open puts a request into the loop as if it had been read from a connection.
+func open(t *testing.T, l *loop) (*request, net.Conn) {
+	t.Helper()
+	near, far := pair(t)
+	c := clientOn(t, near)
 	l.clients[c] = struct{}{}
 	got := interpret(&l.cfg, [][]byte{[]byte("Q.ASK"), []byte(customer), []byte("id"),
 		[]byte("c=look,t=p,d=30000,units=1,spread=2,first=0")}, l.clock.now())
--- a/internal/gateway/rude_test.go
+++ b/internal/gateway/rude_test.go
@@ -22,11 +22,7 @@
 	if _, err := io.WriteString(far, sent); err != nil {
 		t.Fatal(err)
 	}
-	out, err := newOutlet(near)
-	if err != nil {
-		t.Fatal(err)
-	}
-	c := newClient(out)
+	c := clientOn(t, near)
 	join(l, c)
 	return c, far
 }
@@ -107,14 +103,10 @@
 func TestWeanedConnectionReadsWhatHasCome(t *testing.T) {
 	l := still(t, nil)
 	near, far := pair(t)
-	out, err := newOutlet(near)
-	if err != nil {
-		t.Fatal(err)
-	}
 	if _, err := io.WriteString(far, "*1\r\n$4\r\nPING\r\n"); err != nil {
 		t.Fatal(err)
 	}
-	c := newClient(out)
+	c := clientOn(t, near)
 	for c.quiet() { // the kernel has it before the reader is started
 		time.Sleep(time.Millisecond)
 	}
--- a/internal/gateway/shutdown_test.go
+++ b/internal/gateway/shutdown_test.go
@@ -16,17 +16,14 @@
 func TestStopWaitsForConnectionsInHand(t *testing.T) {
 	l := still(t, nil)
 	near, far := pair(t)
-	out, err := newOutlet(near)
-	if err != nil {
-		t.Fatal(err)
-	}
+	c := clientOn(t, near)
 	if _, err := io.WriteString(far, "*1\r\n$4\r\nPING\r\n"); err != nil {
 		t.Fatal(err)
 	}
 	l.closing = true
 	l.ahead <- struct{}{}
 	go func() { // as the listener's goroutine ends
-		l.in.post(joined{newClient(out)})
+		l.in.post(joined{c})
 		l.in.post(acceptEnded{})
 	}()
 	l.run()
@@ -163,11 +160,7 @@
 func TestSlowClientHasItsAnswerBeforeTheEnd(t *testing.T) {
 	l := still(t, nil)
 	near, far := narrow(t)
-	out, err := newOutlet(near)
-	if err != nil {
-		t.Fatal(err)
-	}
-	c := newClient(out)
+	c := clientOn(t, near)
 	l.clients[c] = struct{}{}
 	l.limits = usualLimits
 	answer := redcon.AppendBulk(nil, bytes.Repeat([]byte("x"), 512<<10))
--- a/internal/gateway/slow_test.go
+++ b/internal/gateway/slow_test.go
@@ -111,11 +111,7 @@
 func TestClientThatReadsNothing(t *testing.T) {
 	l := still(t, nil)
 	near, _ := narrow(t)
-	out, err := newOutlet(near)
-	if err != nil {
-		t.Fatal(err)
-	}
-	c := newClient(out)
+	c := clientOn(t, near)
 	l.clients[c] = struct{}{}
 	answer := redcon.AppendBulk(nil, bytes.Repeat([]byte("x"), valueMost))
 	for n := 0; !c.closed; n++ {
@@ -176,12 +172,8 @@
 		t.Errorf("room for %d connections to servers beside %d clients", room, len(l.clients))
 	}
 	near, far := pair(t)
-	out, err := newOutlet(near)
-	if err != nil {
-		t.Fatal(err)
-	}
 	before := len(l.clients)
-	join(l, newClient(out))
+	join(l, clientOn(t, near))
 	if got := text(t, far); got != "" || len(l.clients) != before {
 		t.Errorf("the client got %q, %d are kept of %d", got, len(l.clients), before)
 	}
@@ -191,11 +183,7 @@
 func TestWeanedConnectionFinishesItsCommand(t *testing.T) {
 	l := still(t, nil)
 	near, far := pair(t)
-	out, err := newOutlet(near)
-	if err != nil {
-		t.Fatal(err)
-	}
-	c := newClient(out)
+	c := clientOn(t, near)
 	if _, err := io.WriteString(far, "*1\r\n$4\r\nPING\r\n*1\r\n$4\r\nPI"); err != nil {
 		t.Fatal(err)
 	}
