--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -221,6 +221,49 @@
 	}
 }
 
+// TestHomeCountsWhatIsOpen: a home holds the cap on attempts out over all gateways; an end frees a place once, one that
+// is lost frees it when the attempt must be over, and a home that returned empty counts anew.
+func TestHomeCountsWhatIsOpen(t *testing.T) {
+	j := join(t, 300, nil)
+	key := shortKey("x")
+	rank := j.gws[0].home(key, 0)
+	no := uint64(0)
+	ask := func() bool {
+		no++
+		w := word{kind: 'a', key: key, plan: 3, no: no, n: 1, v: [4]float64{1}}
+		told := find[Tell](j.gws[rank].Handle(j.now, PeerMessage{From: (rank + 1) % 300, Text: w.text()}))
+		if len(told) != 1 {
+			t.Fatalf("question %d: got %#v", no, told)
+		}
+		answer, ok := parseWord(told[0].Text)
+		return ok && answer.v[0] > 0
+	}
+	granted := func(n int) (ok int) {
+		for range n {
+			ok += b2i(ask())
+		}
+		return ok
+	}
+	end := word{kind: 'd', key: key, plan: 3, no: 1, n: 1}
+	if n := granted(5); n != 3 {
+		t.Errorf("granted %d at once, want 3", n)
+	}
+	for range 2 { // the same end twice
+		j.gws[rank].Handle(j.now, PeerMessage{From: (rank + 1) % 300, Text: end.text()})
+	}
+	if n := granted(5); n != 1 {
+		t.Errorf("granted %d after one end, want 1", n)
+	}
+	j.now += time.Second
+	if n := granted(5); n != 3 {
+		t.Errorf("granted %d after all ends were lost, want 3", n)
+	}
+	j.start(rank)
+	if n := granted(5); n != 3 {
+		t.Errorf("granted %d after the home returned empty, want 3", n)
+	}
+}
+
 // TestWaitForAHomeEndsInTime: with both homes silent a request is still answered before its client leaves.
 func TestWaitForAHomeEndsInTime(t *testing.T) {
 	g := join(t, 300, nil).gws[4]
