Clear the time limit of a slow write to a client once the write is done

A trial with a log line at each close of a client that is owed an answer said

closing with owed slots=0 backlog=23 why raw-write tcp ...: i/o timeout

outlet.finish sets a write deadline 2 s ahead for what a slow client leaves and left it set. RawConn.Write heeds it, so from 2 s after any slow write every answer on that connection failed in outlet.try, and push closed the client.

Change: the goroutine that ends the slow write takes the deadline back. The test fails without it ("the time limit still stands").

--- a/internal/gateway/outlet.go
+++ b/internal/gateway/outlet.go
@@ -59,7 +59,8 @@
 	return opErr == nil && errors.Is(err, syscall.EAGAIN)
 }
 
-// finish writes the rest from a goroutine of its own and then posts what done makes of the result.
+// finish writes the rest from a goroutine of its own and then posts what done makes of the result. Its time limit
+// ends with it: one that stayed would fail every later write, and with it the connection.
 func (o *outlet) finish(rest []byte, within time.Duration, post func(event), done func(error) event) {
 	o.busy = true
 	go func() {
@@ -67,6 +68,9 @@
 		if err == nil {
 			_, err = o.conn.Write(rest)
 		}
+		if err == nil {
+			err = o.conn.SetWriteDeadline(time.Time{})
+		}
 		post(done(err))
 	}()
 }
--- a/internal/gateway/slow_test.go
+++ b/internal/gateway/slow_test.go
@@ -198,3 +198,37 @@
 		t.Errorf("the client got %q", got)
 	}
 }
+
+// limited is a connection that keeps the time limit last set on its writes.
+type limited struct {
+	net.Conn
+	by time.Time
+}
+
+func (c *limited) SetWriteDeadline(by time.Time) error {
+	c.by = by
+	return c.Conn.SetWriteDeadline(by)
+}
+
+// The time limit of a slow write ends with it: one that stayed would fail the answers to come and lose them.
+func TestTimeLimitEndsWithItsWrite(t *testing.T) {
+	near, far := narrow(t)
+	out, err := newOutlet(near)
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn := &limited{Conn: near}
+	out.conn = conn
+	go io.Copy(io.Discard, far)
+	ended := make(chan error, 1)
+	out.finish(bytes.Repeat([]byte("x"), 64<<10), patience, func(event) {}, func(err error) event {
+		ended <- err
+		return nil
+	})
+	if err := <-ended; err != nil {
+		t.Fatal(err)
+	}
+	if !conn.by.IsZero() {
+		t.Errorf("the time limit still stands, %v from now", time.Until(conn.by))
+	}
+}
