Seams for connections, and an orderly end of all goroutines of connections

Cause: the loop reached the kernel by file descriptors at each call, so that nothing but real sockets could stand in for a connection, and no test could order what crosses. And `serve` returned while dials, readers and writers of connections to servers still ran: nobody closed those.

The loop starts its goroutines through one WaitGroup; `shut` ends what is out, closes all connections to servers and waits for them.

--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -104,7 +104,7 @@
 	e.c.used = l.clock.now()
 	l.clients[e.c] = struct{}{}
 	r := reader{c: e.c, cfg: &l.cfg, clock: l.clock, limits: l.limits, post: l.in.post}
-	go r.run()
+	l.tasks.Go(r.run)
 	if l.closing {
 		l.at(e.c.used+lastCall, func() { l.wean(e.c) })
 	}
@@ -201,7 +201,7 @@
 	}
 	rest := c.backlog[n:]
 	c.backlog = nil
-	c.finish(rest, clientWrite, l.in.post, func(err error) event { return flushed{c, err} })
+	c.finish(rest, clientWrite, l.tasks.Go, l.in.post, func(err error) event { return flushed{c, err} })
 }
 
 // flushed tells how a slow write to a client ended.
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -2,8 +2,10 @@
 
 import (
 	"container/heap"
+	"context"
 	"fmt"
 	"log/slog"
+	"net"
 	"runtime/debug"
 	"strconv"
 	"sync"
@@ -123,6 +125,11 @@
 	done     bool
 }
 
+// teller sends messages to other gateways by their numbers.
+type teller interface {
+	tell(to int, text string) error
+}
+
 // loop owns the decision module and all that changes. Only its own goroutine touches it.
 type loop struct {
 	cfg      Config
@@ -130,7 +137,8 @@
 	clock    clock
 	core     *decide.Gateway
 	in       *inbox
-	peers    *peerLink // nil where messages are not allowed
+	peers    teller // nil where messages are not allowed
+	dial     func(ctx context.Context, addr string) (net.Conn, error)
 	alarms   alarms
 	todo     []decide.Event
 	requests map[string]*request
@@ -145,6 +153,9 @@
 	closing  bool          // the listener is closed, and so are connections once nothing is owed on them
 	accepted bool          // all connections that the listener took have been counted
 	restarts int
+	tasks    sync.WaitGroup     // the goroutines of connections
+	ctx      context.Context    // ends with the loop
+	cancel   context.CancelFunc // of ctx
 }
 
 const (
@@ -157,7 +168,8 @@
 func newLoop(cfg Config, log *slog.Logger) (*loop, error) {
 	l := &loop{cfg: cfg, log: log, clock: newClock(), in: newInbox(), requests: map[string]*request{},
 		ids: map[string]struct{}{}, clients: map[*client]struct{}{}, limits: usualLimits,
-		ahead: make(chan struct{}, acceptAhead)}
+		ahead: make(chan struct{}, acceptAhead), dial: dialTCP}
+	l.ctx, l.cancel = context.WithCancel(context.Background())
 	l.pool = newPool(l, cfg)
 	if err := l.startCore(); err != nil {
 		return nil, err
@@ -201,6 +213,27 @@
 	}
 }
 
+// shut ends what is left of attempts that nobody waits for, closes all connections to servers, and returns when the
+// goroutines of connections have ended. The loop must have finished: no client is open.
+func (l *loop) shut() {
+	l.cancel()
+	for _, r := range l.requests {
+		for _, a := range r.attempts {
+			l.pool.giveUp(a, decide.Cancelled)
+		}
+	}
+	for c := range l.pool.all {
+		l.pool.close(c)
+	}
+	l.in.close()
+	l.tasks.Wait()
+	for _, e := range l.in.take(nil) {
+		if d, ok := e.(dialed); ok {
+			d.discard(l)
+		}
+	}
+}
+
 // ring makes the calls that are due.
 func (l *loop) ring() {
 	now := l.clock.now()
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -58,11 +58,13 @@
 	defer wg.Wait()
 	defer cancel()
 	if cfg.PeerListen.IsValid() {
-		if l.peers, err = openPeers(cfg.PeerListen, cfg.Peers); err != nil {
+		peers, err := openPeers(cfg.PeerListen, cfg.Peers)
+		if err != nil {
 			return err
 		}
-		defer l.peers.conn.Close()
-		wg.Go(func() { l.peers.read(l.in.post, log) })
+		l.peers = peers
+		defer peers.conn.Close()
+		wg.Go(func() { peers.read(l.in.post, log) })
 	}
 	heard := make(chan struct{}, 1)
 	wg.Go(func() {
@@ -91,7 +93,7 @@
 		}
 	})
 	l.run()
-	l.in.close()
+	l.shut()
 	if err := ln.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
 		return fmt.Errorf("closing the listener: %w", err)
 	}
--- a/internal/gateway/slow_test.go
+++ b/internal/gateway/slow_test.go
@@ -201,13 +201,13 @@
 
 // limited is a connection that keeps the time limit last set on its writes.
 type limited struct {
-	net.Conn
+	link
 	by time.Time
 }
 
 func (c *limited) SetWriteDeadline(by time.Time) error {
 	c.by = by
-	return c.Conn.SetWriteDeadline(by)
+	return c.link.SetWriteDeadline(by)
 }
 
 // The time limit of a slow write ends with it: one that stayed would fail the answers to come and lose them.
@@ -217,11 +217,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	conn := &limited{Conn: near}
+	conn := &limited{link: out.conn}
 	out.conn = conn
 	go io.Copy(io.Discard, far)
 	ended := make(chan error, 1)
-	out.finish(bytes.Repeat([]byte("x"), 64<<10), patience, func(event) {}, func(err error) event {
+	out.finish(bytes.Repeat([]byte("x"), 64<<10), patience, func(f func()) { go f() }, func(event) {}, func(err error) event {
 		ended <- err
 		return nil
 	})
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -68,7 +68,8 @@
 type pool struct {
 	l        *loop
 	servers  map[string]*upstream
-	conns    int // open or being made, of all servers
+	all      map[*upConn]struct{} // that are open
+	conns    int                  // open or being made, of all servers
 	most     int
 	dialFor  time.Duration
 	idleFor  time.Duration
@@ -76,7 +77,7 @@
 }
 
 func newPool(l *loop, cfg Config) pool {
-	return pool{l: l, servers: map[string]*upstream{}, most: upstreamSockets(cfg.Sockets),
+	return pool{l: l, servers: map[string]*upstream{}, all: map[*upConn]struct{}{}, most: upstreamSockets(cfg.Sockets),
 		dialFor: cfg.Settings.Decide.Limits.ConnectTimeout, idleFor: cfg.Settings.Decide.Limits.ConnKept}
 }
 
@@ -186,18 +187,17 @@
 }
 
 func (p *pool) dial(a *attempt) {
-	s, post := a.server, p.l.in.post
+	s, post, dial := a.server, p.l.in.post, p.l.dial
 	s.conns++
 	p.conns++
 	within := min(p.dialFor, a.until-p.l.clock.now())
 	addr := s.addr
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), within)
+	p.l.tasks.Go(func() {
+		ctx, cancel := context.WithTimeout(p.l.ctx, within)
 		defer cancel()
-		d := net.Dialer{KeepAlive: -1}
-		conn, err := d.DialContext(ctx, "tcp", addr)
+		conn, err := dial(ctx, addr)
 		post(dialed{a, addr, conn, err})
-	}()
+	})
 }
 
 // dialed tells how the making of a connection ended.
@@ -210,6 +210,14 @@
 
 func (d dialed) apply(l *loop) { l.pool.dialed(d) }
 
+// discard drops a connection that came up after the loop's end.
+func (d dialed) discard(l *loop) {
+	if d.err == nil {
+		d.conn.Close()
+	}
+	l.pool.dropped(d.a.server)
+}
+
 // dialed looks again before the first byte: while the connection was made the attempt may have been called
 // off or its request answered, its server may have been drained or moved, or the time for it may have passed.
 // Without this a request would go out after its final answer, to a server that was told to be let alone, or to
@@ -234,7 +242,8 @@
 		p.l.ended(a, o)
 		return
 	}
-	go c.read(p.l.in.post)
+	p.all[c] = struct{}{}
+	p.l.tasks.Go(func() { c.read(p.l.in.post) })
 	if s.entry.State != decide.Serving || s.addr != d.addr {
 		p.close(c)
 		p.l.ended(a, decide.NoConnection)
@@ -289,7 +298,7 @@
 		a.whole = true
 		return true
 	}
-	c.finish(b[n:], a.until-p.l.clock.now(), p.l.in.post, func(err error) event { return sent{c, a, err} })
+	c.finish(b[n:], a.until-p.l.clock.now(), p.l.tasks.Go, p.l.in.post, func(err error) event { return sent{c, a, err} })
 	return true
 }
 
@@ -360,6 +369,7 @@
 	c.closed = true
 	c.conn.Close()
 	close(c.asked)
+	delete(p.all, c)
 	p.dropped(c.server)
 	if i := slices.Index(c.server.idle, c); i >= 0 {
 		c.server.idle = slices.Delete(c.server.idle, i, i+1)
