One owner for the life of a connection, so that nothing can use it after its close

Read for the rest of the family: events of readers and writers (each had a guard of its own, commands' did not cover its batch), alarms that close or wean a client, signals to readers of both kinds of connection, timers of attempts. Only the first could crash; the others held by guards.

Change: lifeline.go owns phase, signals and alarms of both kinds. Channels that wake goroutines are never closed, events pass loop.on, alarms of a connection end with it, and a slot is made by place only, which an open connection alone gives.

--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -31,17 +31,28 @@
 
 // client is a connection of a client.
 type client struct {
-	outlet
+	lifeline
 	slots   []*slot // in the order of the commands
 	backlog []byte  // answers behind those that are being written
 	used    time.Duration
-	owed    atomic.Int32  // answers that the reader counts on the loop to give
-	resume  chan struct{} // tells a reader with a full buffer to look again
-	weaned  atomic.Bool   // no further command is waited for once all is answered
-	ending  bool          // to be closed once all is answered
-	read    bool          // nothing more is read from it
-	ended   bool          // nothing more is sent on it either
-	closed  bool
+	owed    atomic.Int32 // answers that the reader counts on the loop to give
+	weaned  atomic.Bool  // to end between requests: no further command is waited for once all is answered
+}
+
+func newClient(conn net.Conn) (*client, error) {
+	life, err := newLifeline(conn)
+	return &client{lifeline: life}, err
+}
+
+// place makes the place of the next answer. It is nil where none can follow: a command that the reader handed on
+// before the connection ended in the middle of its batch is not begun.
+func (c *client) place() *slot {
+	if c.phase != phaseOpen {
+		return nil
+	}
+	s := &slot{}
+	c.slots = append(c.slots, s)
+	return s
 }
 
 // received is one command as the reader found it: a request, or an answer that needs no decision.
@@ -58,36 +69,40 @@
 	fault bool // it sent what can't be read
 }
 
-func (e commands) apply(l *loop) {
-	if e.c.closed {
-		return
-	}
+func (e commands) apply(l *loop) { l.on(&e.c.lifeline, func() { l.take(e) }) }
+
+// take carries out commands, up to the first that finds the connection at its end: an answer to one before it may
+// have shown that the client is gone.
+func (l *loop) take(e commands) {
+	c := e.c
 	for _, r := range e.got {
-		s := &slot{}
-		e.c.slots = append(e.c.slots, s)
+		s := c.place()
+		if s == nil {
+			return
+		}
 		if r.cmd == nil {
-			e.c.reply(s, r.reply)
+			c.reply(s, r.reply)
 		} else {
-			l.accept(e.c, s, r.cmd)
+			l.accept(c, s, r.cmd)
 		}
 		l.drainTodo()
 	}
 	if len(e.got) > 0 {
-		l.flush(e.c)
+		l.flush(c)
 	}
 	if e.last {
-		e.c.ending, e.c.read = true, true
-		l.endIfDone(e.c)
+		c.advance(l, phaseDraining)
+		l.endIfDone(c)
 	}
-	if e.fault && !e.c.closed {
-		l.at(l.clock.now()+faultWithin, func() { l.closeClient(e.c) })
+	if e.fault {
+		l.after(&c.lifeline, faultWithin, func() { l.closeClient(c) })
 	}
 }
 
 // left tells that a client closed its connection.
 type left struct{ c *client }
 
-func (e left) apply(l *loop) { l.closeClient(e.c) }
+func (e left) apply(l *loop) { l.on(&e.c.lifeline, func() { l.closeClient(e.c) }) }
 
 // joined tells of a new connection.
 type joined struct{ c *client }
@@ -98,7 +113,7 @@
 		l.evictClient()
 	}
 	if len(l.clients) >= l.cfg.Sockets-leastSockets {
-		e.c.conn.Close() // unread: the client sends what it may have written once more, elsewhere
+		e.c.advance(l, phaseClosed) // unread: the client sends what it may have written once more, elsewhere
 		return
 	}
 	e.c.used = l.clock.now()
@@ -106,7 +121,7 @@
 	r := reader{c: e.c, cfg: &l.cfg, clock: l.clock, limits: l.limits, post: l.in.post}
 	l.tasks.Go(r.run)
 	if l.closing {
-		l.at(e.c.used+lastCall, func() { l.wean(e.c) })
+		l.after(&e.c.lifeline, lastCall, func() { l.wean(e.c) })
 	}
 }
 
@@ -117,11 +132,11 @@
 func (l *loop) evictClient() {
 	var quiet *client
 	for c := range l.clients {
-		if c.ended {
+		if c.phase == phaseLingering {
 			l.closeClient(c)
 			return
 		}
-		if len(c.slots) == 0 && !c.busy && !c.ending && (quiet == nil || c.used < quiet.used) {
+		if len(c.slots) == 0 && !c.busy && !c.ending() && (quiet == nil || c.used < quiet.used) {
 			quiet = c
 		}
 	}
@@ -134,13 +149,16 @@
 // kernel. Closing at once would lose a request that has come; a reader that stopped while answers are owed would
 // not see the client leave.
 func (l *loop) wean(c *client) {
-	c.ending = true
 	c.weaned.Store(true)
 	l.wakeReader(c)
 }
 
+// ending reports that a connection takes no new command, or none once all is answered.
+func (c *client) ending() bool { return c.weaned.Load() || c.phase > phaseOpen }
+
 // wakeReader makes a reader look again whether it can stop, or hand on more.
 func (l *loop) wakeReader(c *client) {
+	c.rouse()
 	if err := c.conn.SetReadDeadline(time.Unix(1, 0)); err != nil {
 		l.closeClient(c) // already broken
 	}
@@ -161,17 +179,11 @@
 	if n > 0 {
 		c.slots = slices.Delete(c.slots, 0, n)
 		c.used = l.clock.now()
-		if owed := c.owed.Add(int32(-n)); owed < owedMost && owed+int32(n) >= owedMost {
-			select {
-			case c.resume <- struct{}{}:
-			default:
-			}
-			wake = true
-		}
-		wake = wake || len(c.slots) == 0 && c.weaned.Load()
+		owed := c.owed.Add(int32(-n))
+		wake = owed < owedMost && owed+int32(n) >= owedMost || len(c.slots) == 0 && c.weaned.Load()
 	}
 	l.push(c)
-	if wake && !c.closed {
+	if wake {
 		l.wakeReader(c)
 	}
 	l.endIfDone(c)
@@ -179,10 +191,6 @@
 
 // push writes the backlog, unless an earlier write is still going on.
 func (l *loop) push(c *client) {
-	if c.closed {
-		c.backlog = nil
-		return
-	}
 	if len(c.backlog) > backlogMost {
 		l.closeClient(c)
 		return
@@ -201,7 +209,7 @@
 	}
 	rest := c.backlog[n:]
 	c.backlog = nil
-	c.finish(rest, clientWrite, l.tasks.Go, l.in.post, func(err error) event { return flushed{c, err} })
+	c.finish(l, rest, clientWrite, func(err error) event { return flushed{c, err} })
 }
 
 // flushed tells how a slow write to a client ended.
@@ -211,37 +219,34 @@
 }
 
 func (e flushed) apply(l *loop) {
-	e.c.busy = false
-	if e.err != nil {
-		l.closeClient(e.c)
-		return
-	}
-	l.push(e.c)
-	l.endIfDone(e.c)
+	l.on(&e.c.lifeline, func() {
+		if e.c.busy = false; e.err != nil {
+			l.closeClient(e.c)
+			return
+		}
+		l.push(e.c)
+		l.endIfDone(e.c)
+	})
 }
 
-// endIfDone closes a connection whose reader has stopped and on which nothing is owed.
+// endIfDone ends the sending on a connection that is not read any more and on which nothing is owed.
 func (l *loop) endIfDone(c *client) {
-	if !c.read || c.ended || c.closed || len(c.slots) > 0 || c.busy || len(c.backlog) > 0 {
+	if c.phase != phaseDraining || len(c.slots) > 0 || c.busy || len(c.backlog) > 0 {
 		return
 	}
-	c.ended = true
-	half, ok := c.conn.(interface{ CloseWrite() error })
-	if !ok || half.CloseWrite() != nil {
+	c.advance(l, phaseLingering)
+	if c.conn.CloseWrite() != nil {
 		l.closeClient(c) // already broken
 		return
 	}
-	l.at(l.clock.now()+lingerFor, func() { l.closeClient(c) })
+	l.after(&c.lifeline, lingerFor, func() { l.closeClient(c) })
 }
 
 // closeClient ends a connection. What was open on it is over: no one waits for it any more.
 func (l *loop) closeClient(c *client) {
-	if c.closed {
+	if !c.advance(l, phaseClosed) {
 		return
 	}
-	c.closed = true
-	c.conn.Close()
-	close(c.resume)
 	delete(l.clients, c)
 	for _, s := range c.slots {
 		if s.req != nil {
@@ -264,7 +269,7 @@
 			sleep(ctx, 10*time.Millisecond) // out of descriptors: some may be free then
 			continue
 		}
-		out, err := newOutlet(conn)
+		c, err := newClient(conn)
 		if err != nil {
 			log.Error("accepting a connection", "err", err)
 			conn.Close()
@@ -272,12 +277,10 @@
 		}
 		select {
 		case ahead <- struct{}{}:
-			post(joined{newClient(out)})
+			post(joined{c})
 		case <-ctx.Done():
 			conn.Close()
 			return
 		}
 	}
 }
-
-func newClient(out outlet) *client { return &client{outlet: out, resume: make(chan struct{}, 1)} }
--- a/internal/gateway/crossing_test.go
+++ b/internal/gateway/crossing_test.go
@@ -20,13 +20,13 @@
 	}
 	c.used -= settleFor // it has rested
 	far.Close()
-	for c.quiet() { // until the close has come
+	for c.conn.Quiet() { // until the close has come
 		time.Sleep(time.Millisecond)
 	}
 	second := &attempt{req: &request{id: "second", cmd: a.req.cmd}, server: a.server, until: l.clock.now() + long}
 	l.pool.start(second)
-	if second.conn != nil || second.over || !c.closed || len(a.server.idle) > 0 {
-		t.Errorf("on the old connection: %v, ended: %v, old one closed: %v", second.conn == c, second.over, c.closed)
+	if second.conn != nil || second.over || !c.closed() || len(a.server.idle) > 0 {
+		t.Errorf("on the old connection: %v, ended: %v, old one closed: %v", second.conn == c, second.over, c.closed())
 	}
 }
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -107,7 +107,7 @@
 			mine, its = b, a
 		}
 		other <- its
-		for ; ; x = <-mine.got {
+		for ; x.conn != nil; x = <-mine.got {
 			if x.args != nil {
 				x.conn.Close()
 			}
--- a/internal/gateway/left_test.go
+++ b/internal/gateway/left_test.go
@@ -25,7 +25,7 @@
 		}
 	}
 	far.Close()
-	until(t, l, func() bool { return c.closed })
+	until(t, l, func() bool { return c.closed() })
 	l.drainTodo()
 	if len(waiting) == 0 || len(l.requests) > 0 || l.nextID >= n {
 		t.Errorf("%d attempts waited; %d requests are open, %d of %d were begun", len(waiting), len(l.requests), l.nextID, n)
--- a/internal/gateway/link.go
+++ b/internal/gateway/link.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"net"
 	"syscall"
-	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -87,38 +86,3 @@
 	d := net.Dialer{KeepAlive: -1}
 	return d.DialContext(ctx, "tcp", addr)
 }
-
-// outlet writes to a connection without making the loop wait: the kernel takes what it can at once, and a
-// goroutine with a time limit writes what a slow peer leaves.
-type outlet struct {
-	conn link
-	busy bool // a goroutine is writing
-}
-
-// newOutlet is an outlet to a link, or to a TCP connection.
-func newOutlet(conn net.Conn) (outlet, error) {
-	if l, ok := conn.(link); ok {
-		return outlet{conn: l}, nil
-	}
-	s, err := newSocket(conn)
-	return outlet{conn: s}, err
-}
-
-func (o *outlet) try(b []byte) (int, error) { return o.conn.TryWrite(b) }
-func (o *outlet) quiet() bool               { return o.conn.Quiet() }
-
-// finish writes the rest from a goroutine that start starts and then posts what done makes of the result. Its time
-// limit ends with it: one that stayed would fail every later write, and with it the connection.
-func (o *outlet) finish(rest []byte, within time.Duration, start func(func()), post func(event), done func(error) event) {
-	o.busy = true
-	start(func() {
-		err := o.conn.SetWriteDeadline(time.Now().Add(within))
-		if err == nil {
-			_, err = o.conn.Write(rest)
-		}
-		if err == nil {
-			err = o.conn.SetWriteDeadline(time.Time{})
-		}
-		post(done(err))
-	})
-}
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -355,7 +355,8 @@
 // accept takes a request that has been read whole.
 func (l *loop) accept(c *client, s *slot, cmd *command) {
 	cap := l.cfg.Settings.OpenCap
-	if l.held+cmd.size() > l.cfg.MemoryMB<<20/heldPart || (cap > 0 && len(l.requests) >= cap) {
+	late := l.stopBy > 0 && l.clock.now() >= l.stopBy // there is no time to send anything on before the end
+	if late || l.held+cmd.size() > l.cfg.MemoryMB<<20/heldPart || (cap > 0 && len(l.requests) >= cap) {
 		c.reply(s, busy(l.cfg.Settings.Decide.Limits.MaxRetryAfter))
 		l.flush(c)
 		return
--- a/internal/gateway/loop_test.go
+++ b/internal/gateway/loop_test.go
@@ -18,6 +18,14 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	t.Cleanup(func() {
+		for c := range l.clients {
+			if c.conn != nil { // else it only fills the table
+				l.closeClient(c)
+			}
+		}
+		l.shut()
+	})
 	return l
 }
 
@@ -45,11 +53,11 @@
 // clientOn is a client at the other end of a connection.
 func clientOn(t *testing.T, near net.Conn) *client {
 	t.Helper()
-	out, err := newOutlet(near)
+	c, err := newClient(near)
 	if err != nil {
 		t.Fatal(err)
 	}
-	return newClient(out)
+	return c
 }
 
 // open puts a request into the loop as if it had been read from a connection.
@@ -231,13 +239,13 @@
 		}
 	}
 	near, far := pair(t)
-	out, err := newOutlet(near)
+	c, err := newUpConn(near, s, 0)
 	if err != nil {
 		t.Fatal(err)
 	}
 	l.pool.conns = 1
 	s.conns = 1
-	l.pool.park(newUpConn(out, s, 0))
+	l.pool.park(c)
 	l.pool.evict()
 	text(t, far)
 	if l.pool.conns != 0 {
--- a/internal/gateway/reader.go
+++ b/internal/gateway/reader.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"errors"
+	"io"
+	"net"
 	"os"
 	"slices"
 	"strings"
@@ -11,6 +13,11 @@
 	"github.com/tidwall/redcon"
 )
 
+const (
+	lookEvery = 25 * time.Millisecond // a client's end that can't be read is looked for so often
+	dropMost  = 256 << 10             // bytes that are read and dropped after the last command
+)
+
 // clientLimits bound how long a connection may hold a descriptor and give nothing for it.
 type clientLimits struct {
 	command time.Duration // for the first command of a connection, and for the end of one that has begun
@@ -44,16 +51,20 @@
 		// the reader sets this one before it looks at either.
 		by := r.deadline()
 		err := r.c.conn.SetReadDeadline(by)
-		if r.c.weaned.Load() && len(r.buf) == 0 && r.c.owed.Load() == 0 && r.c.quiet() {
+		if r.c.weaned.Load() && len(r.buf) == 0 && r.c.owed.Load() == 0 && r.c.conn.Quiet() {
 			r.hand(commands{last: true})
 			return
 		}
 		if err == nil {
 			err = r.handOn()
 		}
+		waits := r.held() // for answers: what the client has sent meanwhile is not late
 		if err == nil {
 			err = r.read()
 		}
+		if waits || len(r.buf) == 0 && r.c.owed.Load() > 0 {
+			waits, r.since = true, time.Now()
+		}
 		switch {
 		case err == nil:
 		case errors.Is(err, errFraming):
@@ -62,9 +73,7 @@
 		case !errors.Is(err, os.ErrDeadlineExceeded):
 			r.post(left{r.c})
 			return
-		case time.Now().Before(by): // woken by the loop
-		case r.held(), len(r.buf) == 0 && r.c.owed.Load() > 0: // it waits for answers
-			r.since = time.Now()
+		case waits, time.Now().Before(by): // or woken by the loop
 		case len(r.buf) > 0:
 			r.refuse(errLate, false)
 			return
@@ -90,8 +99,7 @@
 // read takes what has come.
 func (r *reader) read() error {
 	if r.held() && len(r.buf) >= commandMost {
-		<-r.c.resume
-		return nil
+		return r.waitForRoom()
 	}
 	if len(r.buf) == cap(r.buf) {
 		r.buf = slices.Grow(r.buf, cap(r.buf))
@@ -104,6 +112,50 @@
 	return err
 }
 
+// waitForRoom waits for a while until fewer answers are owed. The client's end lies behind what is unread, so it is
+// looked for.
+func (r *reader) waitForRoom() error {
+	look := time.NewTimer(lookEvery)
+	defer look.Stop()
+	select {
+	case <-r.c.wake:
+	case <-r.c.gone:
+		return net.ErrClosed
+	case <-look.C:
+		if r.c.conn.HungUp() {
+			return io.ErrUnexpectedEOF
+		}
+	}
+	return nil
+}
+
+// seeOut stays with a connection of which nothing more is taken for as long as answers are owed on it: work for a
+// client that leaves must not go on. What it still sends is dropped, so that its end can come through; of one that
+// sends much the end is looked for.
+func (r *reader) seeOut() {
+	drop := make([]byte, clientBuffer)
+	for most := dropMost; r.c.owed.Load() > 0; {
+		if most <= 0 {
+			if r.waitForRoom() != nil {
+				break
+			}
+			continue
+		}
+		err := r.c.conn.SetReadDeadline(time.Now().Add(lookEvery))
+		if err == nil {
+			var n int
+			n, err = r.c.conn.Read(drop)
+			most -= n
+		}
+		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+			break
+		}
+	}
+	if r.c.owed.Load() > 0 {
+		r.post(left{r.c})
+	}
+}
+
 // handOn hands on the commands that are whole, until too many answers are owed.
 func (r *reader) handOn() error {
 	for len(r.buf) > 0 && !r.held() {
@@ -140,6 +192,7 @@
 func (r *reader) refuse(why error, fault bool) {
 	reply := redcon.AppendError(nil, "ERR "+why.Error())
 	r.hand(commands{got: []received{{reply: reply}}, last: true, fault: fault})
+	r.seeOut()
 }
 
 // hand posts commands.
--- a/internal/gateway/rig_test.go
+++ b/internal/gateway/rig_test.go
@@ -52,15 +52,26 @@
 		t.Fatal(err)
 	}
 	b := &backend{addr: ln.Addr().String(), got: make(chan exchange, 64)}
-	t.Cleanup(func() { ln.Close() })
-	go func() {
+	var readers sync.WaitGroup
+	t.Cleanup(func() {
+		ln.Close()
+		go func() { // what is still handed over is dropped until the last connection has ended
+			for range b.got {
+			}
+		}()
+		go func() {
+			readers.Wait()
+			close(b.got)
+		}()
+	})
+	readers.Go(func() {
 		for {
 			conn, err := ln.Accept()
 			if err != nil {
 				return
 			}
 			t.Cleanup(func() { conn.Close() })
-			go func() {
+			readers.Go(func() {
 				rd := redcon.NewReader(conn)
 				for {
 					cmd, err := rd.ReadCommand()
@@ -74,9 +85,9 @@
 					}
 					b.got <- exchange{conn, args}
 				}
-			}()
+			})
 		}
-	}()
+	})
 	return b
 }
 
@@ -187,7 +198,7 @@
 	r.addr = ln.Addr().String()
 	ctx, cancel := context.WithCancel(context.Background())
 	r.stop = cancel
-	go func() { r.done <- serve(ctx, cfg, r.moves, ln, slog.New(slog.DiscardHandler)) }()
+	ending.Go(func() { r.done <- serve(ctx, cfg, r.moves, ln, slog.New(slog.DiscardHandler)) })
 	t.Cleanup(cancel)
 	return r
 }
--- a/internal/gateway/rude_test.go
+++ b/internal/gateway/rude_test.go
@@ -38,7 +38,7 @@
 	} {
 		l := still(t, nil)
 		c, far := connect(t, l, brief, tc.sent)
-		until(t, l, func() bool { return c.closed })
+		until(t, l, func() bool { return c.closed() })
 		if got := text(t, far); got != tc.want {
 			t.Errorf("%s: got %q, want %q", name, got, tc.want)
 		}
@@ -57,7 +57,7 @@
 			time.Sleep(time.Millisecond)
 		}
 	}()
-	until(t, l, func() bool { return c.closed })
+	until(t, l, func() bool { return c.closed() })
 }
 
 // A client that waits for its answer is not idle, however long that takes.
@@ -93,9 +93,9 @@
 	young, _ := connect(t, l, usualLimits, "")
 	old.used = young.used - time.Second
 	l.evictClient()
-	until(t, l, func() bool { return old.closed })
-	if got := text(t, far); got != "" || owed.ending || young.ending {
-		t.Errorf("the old one got %q; ending are: owed %v, young %v", got, owed.ending, young.ending)
+	until(t, l, func() bool { return old.closed() })
+	if got := text(t, far); got != "" || owed.ending() || young.ending() {
+		t.Errorf("the old one got %q; ending are: owed %v, young %v", got, owed.ending(), young.ending())
 	}
 }
 
@@ -107,13 +107,13 @@
 		t.Fatal(err)
 	}
 	c := clientOn(t, near)
-	for c.quiet() { // the kernel has it before the reader is started
+	for c.conn.Quiet() { // the kernel has it before the reader is started
 		time.Sleep(time.Millisecond)
 	}
 	c.weaned.Store(true)
 	join(l, c)
 	l.wean(c)
-	until(t, l, func() bool { return c.closed })
+	until(t, l, func() bool { return c.closed() })
 	if got := text(t, far); got != "+PONG\r\n" {
 		t.Errorf("got %q", got)
 	}
@@ -185,10 +185,10 @@
 func TestFaultDoesNotWaitForOpenRequests(t *testing.T) {
 	l := still(t, unreachable(t))
 	c, far := connect(t, l, usualLimits, asked("id")+"*-1\r\n")
-	for !c.read {
+	for c.phase == phaseOpen {
 		step(l)
 	}
-	if c.closed || len(l.requests) != 1 {
+	if c.closed() || len(l.requests) != 1 {
 		t.Fatal("the open request got no time")
 	}
 	for _, a := range l.alarms {
@@ -196,7 +196,7 @@
 	}
 	l.ring()
 	text(t, far)
-	if !c.closed || len(l.requests) != 0 {
+	if !c.closed() || len(l.requests) != 0 {
 		t.Error("the connection is still open")
 	}
 }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -31,6 +31,8 @@
 	stopWait  = 3 * time.Second
 	stopOver  = 700 * time.Millisecond
 	stopEarly = 200 * time.Millisecond
+	// What was read ahead gets its refusals in this; connections linger before they are closed, still in stopEarly.
+	stopLast = stopEarly - lingerFor - 10*time.Millisecond
 )
 
 // Run serves until the context ends; then it takes what still comes for a moment, answers all that it has
@@ -129,7 +131,8 @@
 	return min(longest, stopWait) + stopOver - stopEarly
 }
 
-// stopAll fails what is still owed, such as requests at servers that hang, and ends all connections.
+// stopAll fails what is still owed, such as requests at servers that hang, and ends all connections: those on which
+// more commands have come than may be owed once these are refused, the others at once.
 func (l *loop) stopAll() {
 	l.closing = true
 	for c := range l.clients {
@@ -138,9 +141,14 @@
 				l.fail(s.req)
 			}
 		}
-		c.read = true
-		l.endIfDone(c)
+		l.wean(c)
 	}
+	l.at(l.clock.now()+stopLast, func() {
+		for c := range l.clients {
+			c.advance(l, phaseDraining)
+			l.endIfDone(c)
+		}
+	})
 }
 
 // acceptEnded tells that no further connection will come.
--- a/internal/gateway/shutdown_test.go
+++ b/internal/gateway/shutdown_test.go
@@ -56,7 +56,7 @@
 		}
 		l.stopAll()
 		l.drainTodo()
-		until(t, l, func() bool { return r.client.closed })
+		until(t, l, func() bool { return r.client.closed() })
 		if got := text(t, far); got != "-ERR failed\r\n" {
 			t.Errorf("%s: the client got %q", name, got)
 		}
@@ -91,7 +91,7 @@
 	}
 	until(t, l, func() bool { return len(c.slots) == 2 }) // the reader has gone on
 	far.Close()
-	until(t, l, func() bool { return c.closed })
+	until(t, l, func() bool { return c.closed() })
 	if !a.req.done {
 		t.Fatal("the request is still open")
 	}
@@ -134,14 +134,14 @@
 func TestUnreadInputDoesNotDestroyTheAnswer(t *testing.T) {
 	l := still(t, nil)
 	c, far := connect(t, l, usualLimits, "*1\r\n$4\r\nPING\r\n*1\r\n:5\r\n"+strings.Repeat("x", 64<<10))
-	until(t, l, func() bool { return c.ended })
-	if c.closed {
+	until(t, l, func() bool { return (c.phase >= phaseLingering) })
+	if c.closed() {
 		t.Error("the connection was closed at once")
 	}
 	if got := text(t, far); !strings.HasPrefix(got, "+PONG\r\n-ERR protocol error") {
 		t.Errorf("the client got %q", got)
 	}
-	until(t, l, func() bool { return c.closed })
+	until(t, l, func() bool { return c.closed() })
 }
 
 // One that lingers is the first to make room for a new connection.
@@ -149,10 +149,10 @@
 	l := still(t, nil)
 	quiet, _ := connect(t, l, usualLimits, "")
 	c, _ := connect(t, l, usualLimits, "*1\r\n:5\r\n")
-	until(t, l, func() bool { return c.ended })
+	until(t, l, func() bool { return (c.phase >= phaseLingering) })
 	l.evictClient()
-	if !c.closed || quiet.ending {
-		t.Errorf("closed: lingering %v; ending: quiet %v", c.closed, quiet.ending)
+	if !c.closed() || quiet.ending() {
+		t.Errorf("closed: lingering %v; ending: quiet %v", c.closed(), quiet.ending())
 	}
 }
 
@@ -177,7 +177,7 @@
 		}
 		got <- int(n)
 	}()
-	until(t, l, func() bool { return c.ended })
+	until(t, l, func() bool { return (c.phase >= phaseLingering) })
 	if n := <-got; n != len(answer) {
 		t.Errorf("the client got %d bytes, want %d", n, len(answer))
 	}
--- a/internal/gateway/slow_test.go
+++ b/internal/gateway/slow_test.go
@@ -102,7 +102,7 @@
 	if e := l.todo[len(l.todo)-1].(decide.AttemptEnded); e.Outcome != decide.NoConnection {
 		t.Errorf("the outcome is %v", e.Outcome)
 	}
-	if !a.conn.closed || l.pool.conns != 0 {
+	if !a.conn.closed() || l.pool.conns != 0 {
 		t.Error("the connection is kept")
 	}
 }
@@ -114,7 +114,7 @@
 	c := clientOn(t, near)
 	l.clients[c] = struct{}{}
 	answer := redcon.AppendBulk(nil, bytes.Repeat([]byte("x"), valueMost))
-	for n := 0; !c.closed; n++ {
+	for n := 0; !c.closed(); n++ {
 		if n*len(answer) > 64<<20 {
 			t.Fatal("the client's answers pile up without end")
 		}
@@ -145,11 +145,7 @@
 		first, _ := open(t, l)
 		fill(l)
 		near, far := pair(t)
-		out, err := newOutlet(near)
-		if err != nil {
-			t.Fatal(err)
-		}
-		c := newClient(out)
+		c := clientOn(t, near)
 		second := *first.cmd
 		second.args = append([][]byte{}, first.cmd.args...)
 		second.args[idArg] = []byte("id-2")
@@ -193,7 +189,7 @@
 	if _, err := io.WriteString(far, "NG\r\n"); err != nil {
 		t.Fatal(err)
 	}
-	until(t, l, func() bool { return c.closed })
+	until(t, l, func() bool { return c.closed() })
 	if got := text(t, far); got != "+PONG\r\n+PONG\r\n" {
 		t.Errorf("the client got %q", got)
 	}
@@ -213,15 +209,12 @@
 // The time limit of a slow write ends with it: one that stayed would fail the answers to come and lose them.
 func TestTimeLimitEndsWithItsWrite(t *testing.T) {
 	near, far := narrow(t)
-	out, err := newOutlet(near)
-	if err != nil {
-		t.Fatal(err)
-	}
-	conn := &limited{link: out.conn}
-	out.conn = conn
+	l, c := still(t, nil), clientOn(t, near)
+	conn := &limited{link: c.conn}
+	c.conn = conn
 	go io.Copy(io.Discard, far)
 	ended := make(chan error, 1)
-	out.finish(bytes.Repeat([]byte("x"), 64<<10), patience, func(f func()) { go f() }, func(event) {}, func(err error) event {
+	c.finish(l, bytes.Repeat([]byte("x"), 64<<10), patience, func(err error) event {
 		ended <- err
 		return nil
 	})
--- a/internal/gateway/spoilt_test.go
+++ b/internal/gateway/spoilt_test.go
@@ -50,8 +50,8 @@
 		for !a.over {
 			step(l)
 		}
-		if o := outcome(t, l); o != decide.Error || !a.conn.closed {
-			t.Errorf("%.20q: outcome %v, closed %v", spoilt, o, a.conn.closed)
+		if o := outcome(t, l); o != decide.Error || !a.conn.closed() {
+			t.Errorf("%.20q: outcome %v, closed %v", spoilt, o, a.conn.closed())
 		}
 	}
 }
@@ -101,7 +101,7 @@
 	if _, err := io.WriteString(server, served("first")); err != nil {
 		t.Fatal(err)
 	}
-	for deadline := time.Now().Add(patience); c.quiet(); time.Sleep(time.Millisecond) {
+	for deadline := time.Now().Add(patience); c.conn.Quiet(); time.Sleep(time.Millisecond) {
 		if time.Now().After(deadline) {
 			t.Fatal("the copy was read, or never came")
 		}
@@ -109,7 +109,7 @@
 	c.used -= settleFor
 	second := &attempt{req: &request{id: "r", cmd: a.req.cmd}, server: a.server, until: l.clock.now() + long}
 	l.pool.start(second)
-	if !c.closed || second.conn != nil {
+	if !c.closed() || second.conn != nil {
 		t.Error("the request went out on a connection that is out of step")
 	}
 	l.closeClient(a.req.client)
@@ -148,8 +148,8 @@
 	for !a.over {
 		step(l)
 	}
-	if o := outcome(t, l); o == decide.OK || !a.conn.closed {
-		t.Errorf("outcome %v, closed %v", o, a.conn.closed)
+	if o := outcome(t, l); o == decide.OK || !a.conn.closed() {
+		t.Errorf("outcome %v, closed %v", o, a.conn.closed())
 	}
 }
 
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -37,18 +37,18 @@
 	idle  []*upConn // the last used last: it is the least likely to have been closed
 }
 
-// upConn is a connection to a server. It carries one attempt at a time, as giving an attempt up closes it.
+// upConn is a connection to a server. It carries one attempt at a time, as giving an attempt up closes it. Its reader
+// is woken for each answer that is owed.
 type upConn struct {
-	outlet
+	lifeline
 	server *upstream
-	att    *attempt      // whose answer is owed
-	asked  chan struct{} // tells the reader that an answer is owed
+	att    *attempt // whose answer is owed
 	used   time.Duration
-	closed bool
 }
 
-func newUpConn(out outlet, s *upstream, now time.Duration) *upConn {
-	return &upConn{outlet: out, server: s, used: now, asked: make(chan struct{}, 1)}
+func newUpConn(conn net.Conn, s *upstream, now time.Duration) (*upConn, error) {
+	life, err := newLifeline(conn)
+	return &upConn{lifeline: life, server: s, used: now}, err
 }
 
 // attempt is one try at one server.
@@ -226,12 +226,9 @@
 	a, s := d.a, d.a.server
 	var c *upConn
 	if d.err == nil {
-		out, err := newOutlet(d.conn)
-		if err != nil {
+		if c, d.err = newUpConn(d.conn, s, p.l.clock.now()); d.err != nil {
 			d.conn.Close()
-			d.err = err
 		}
-		c = newUpConn(out, s, p.l.clock.now())
 	}
 	if d.err != nil {
 		p.dropped(s)
@@ -279,7 +276,7 @@
 // another may be tried: nothing has reached the server. A connection on which something waits unasked is out
 // of step, or at its end, and takes nothing.
 func (p *pool) write(c *upConn, a *attempt) bool {
-	if !c.quiet() {
+	if !c.conn.Quiet() {
 		p.close(c)
 		return false
 	}
@@ -293,12 +290,12 @@
 		return n > 0
 	}
 	c.att, a.conn, c.used = a, c, p.l.clock.now()
-	c.asked <- struct{}{} // the reader has taken the one before
+	c.rouse()
 	if n == len(b) {
 		a.whole = true
 		return true
 	}
-	c.finish(b[n:], a.until-p.l.clock.now(), p.l.tasks.Go, p.l.in.post, func(err error) event { return sent{c, a, err} })
+	c.finish(p.l, b[n:], a.until-p.l.clock.now(), func(err error) event { return sent{c, a, err} })
 	return true
 }
 
@@ -314,7 +311,7 @@
 	if s.err == nil {
 		s.a.whole = true
 	}
-	if s.err == nil && !s.c.closed {
+	if s.err == nil && !s.c.closed() {
 		return
 	}
 	l.pool.close(s.c)
@@ -332,7 +329,7 @@
 
 // park keeps a connection for the next attempt.
 func (p *pool) park(c *upConn) {
-	if c.closed || c.busy {
+	if c.closed() || c.busy {
 		p.close(c)
 		return
 	}
@@ -363,17 +360,14 @@
 }
 
 func (p *pool) close(c *upConn) {
-	if c.closed {
+	if !c.advance(p.l, phaseClosed) {
 		return
 	}
-	c.closed = true
-	c.conn.Close()
-	close(c.asked)
 	delete(p.all, c)
-	p.dropped(c.server)
 	if i := slices.Index(c.server.idle, c); i >= 0 {
 		c.server.idle = slices.Delete(c.server.idle, i, i+1)
 	}
+	p.dropped(c.server)
 }
 
 // dropped counts a connection that is no more, or was never made.
@@ -415,13 +409,12 @@
 	answer
 }
 
-func (e answered) apply(l *loop) {
-	c, a := e.c, e.c.att
-	if c.closed {
-		return
-	}
+func (e answered) apply(l *loop) { l.on(&e.c.lifeline, func() { l.pool.answered(e) }) }
+
+func (p *pool) answered(e answered) {
+	c, a, l := e.c, e.c.att, p.l
 	if a == nil || !a.whole { // nobody asked, or not all of it: what a server says to that is no answer
-		broke{c: c}.apply(l)
+		p.broke(broke{c: c})
 		return
 	}
 	c.att = nil
@@ -443,11 +436,10 @@
 	spoilt bool
 }
 
-func (e broke) apply(l *loop) {
-	c, a := e.c, e.c.att
-	if c.closed {
-		return
-	}
+func (e broke) apply(l *loop) { l.on(&e.c.lifeline, func() { l.pool.broke(e) }) }
+
+func (p *pool) broke(e broke) {
+	c, a, l := e.c, e.c.att, p.l
 	l.pool.close(c)
 	switch {
 	case a == nil || c.busy: // the writer still has to tell whether it had written the last byte
@@ -463,7 +455,12 @@
 // read here, a copy in the reader's hands could meet the next request and pass for its answer.
 func (c *upConn) read(post func(event)) {
 	buf := make([]byte, 0, readFirst)
-	for range c.asked {
+	for {
+		select {
+		case <-c.wake:
+		case <-c.gone:
+			return
+		}
 		a, err := c.readAnswer(&buf)
 		if err != nil {
 			post(broke{c, errors.Is(err, errSpoilt)})
