--- /dev/null
+++ b/internal/gateway/wire_test.go
@@ -0,0 +1,262 @@
+package gateway
+
+import (
+	"io"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// wire is a connection in memory that behaves like TCP, for tests on a virtual clock: bytes wait at the reader up to a
+// bound, a close over unread bytes resets, a reset leaves or destroys what is under way, time limits fail reads and
+// writes even where they need not wait.
+type wire struct {
+	mu    sync.Mutex
+	moved sync.Cond
+	most  int // bytes that wait at one end
+	a, b  end
+}
+
+// end is one end of a wire.
+type end struct {
+	w               *wire
+	peer            *end
+	waiting         []byte // come, and not yet read here
+	taken           int    // bytes that were read here
+	marks           []mark
+	finSent, finGot bool
+	closed, reset   bool
+	readBy, writeBy time.Time
+	onClose         func()
+	fuse            int       // after so many writes here the other end breaks the connection; 0: it does not
+	blown           time.Time // when it did
+}
+
+// mark tells when the byte of that number was written to an end.
+type mark struct {
+	from int
+	at   time.Time
+}
+
+func newWire(most int) (near, far *end) {
+	w := &wire{most: most}
+	w.moved.L = &w.mu
+	w.a.w, w.b.w = w, w
+	w.a.peer, w.b.peer = &w.b, &w.a
+	return &w.a, &w.b
+}
+
+func expired(by time.Time) bool { return !by.IsZero() && !time.Now().Before(by) }
+
+// put writes what there is room for. The lock is held.
+func (e *end) put(b []byte) (int, error) {
+	if e.fuse > 0 && !e.closed && !e.reset {
+		if e.fuse--; e.fuse == 0 {
+			e.reset, e.peer.closed, e.blown = true, true, time.Now()
+			e.w.moved.Broadcast()
+		}
+	}
+	switch p := e.peer; {
+	case e.closed:
+		return 0, net.ErrClosed
+	case expired(e.writeBy):
+		return 0, os.ErrDeadlineExceeded
+	case e.reset:
+		return 0, syscall.ECONNRESET
+	case e.finSent:
+		return 0, syscall.EPIPE
+	case p.closed:
+		e.reset = true // the answer to what is sent now
+		e.w.moved.Broadcast()
+		return len(b), nil
+	default:
+		n := max(0, min(len(b), e.w.most-len(p.waiting)))
+		if n > 0 {
+			p.marks = append(p.marks, mark{p.taken + len(p.waiting), time.Now()})
+			p.waiting = append(p.waiting, b[:n]...)
+			e.w.moved.Broadcast()
+		}
+		return n, nil
+	}
+}
+
+func (e *end) TryWrite(b []byte) (int, error) {
+	e.w.mu.Lock()
+	defer e.w.mu.Unlock()
+	return e.put(b)
+}
+
+func (e *end) Write(b []byte) (n int, err error) {
+	e.w.mu.Lock()
+	defer e.w.mu.Unlock()
+	for {
+		m, err := e.put(b[n:])
+		if n += m; err != nil || n == len(b) {
+			return n, err
+		}
+		e.w.moved.Wait()
+	}
+}
+
+func (e *end) Read(b []byte) (int, error) {
+	e.w.mu.Lock()
+	defer e.w.mu.Unlock()
+	for {
+		switch {
+		case e.closed:
+			return 0, net.ErrClosed
+		case expired(e.readBy):
+			return 0, os.ErrDeadlineExceeded
+		case len(e.waiting) > 0:
+			return e.take(b), nil
+		case e.reset:
+			return 0, syscall.ECONNRESET
+		case e.finGot:
+			return 0, io.EOF
+		}
+		e.w.moved.Wait()
+	}
+}
+
+func (e *end) take(b []byte) int {
+	n := copy(b, e.waiting)
+	e.waiting, e.taken = e.waiting[n:], e.taken+n
+	e.w.moved.Broadcast()
+	return n
+}
+
+// all reads what has come without waiting, and tells whether more may come.
+func (e *end) all() (b []byte, open bool) {
+	e.w.mu.Lock()
+	defer e.w.mu.Unlock()
+	b = make([]byte, len(e.waiting))
+	e.take(b)
+	return b, !e.closed && !e.reset && !e.finGot
+}
+
+// writtenAt is when the byte of that number was written to this end.
+func (e *end) writtenAt(n int) (at time.Time) {
+	e.w.mu.Lock()
+	defer e.w.mu.Unlock()
+	for _, m := range e.marks {
+		if m.from <= n {
+			at = m.at
+		}
+	}
+	return at
+}
+
+func (e *end) read() int {
+	e.w.mu.Lock()
+	defer e.w.mu.Unlock()
+	return e.taken
+}
+
+// breakAfter has the other end break the connection in the nth write from now on.
+func (e *end) breakAfter(n int) {
+	e.w.mu.Lock()
+	defer e.w.mu.Unlock()
+	e.fuse = n
+}
+
+// broken tells when the other end broke the connection in a write.
+func (e *end) broken() time.Time {
+	e.w.mu.Lock()
+	defer e.w.mu.Unlock()
+	return e.blown
+}
+
+func (e *end) shut() bool {
+	e.w.mu.Lock()
+	defer e.w.mu.Unlock()
+	return e.closed
+}
+
+func (e *end) Quiet() bool {
+	e.w.mu.Lock()
+	defer e.w.mu.Unlock()
+	return !e.closed && !e.reset && !e.finGot && len(e.waiting) == 0
+}
+
+func (e *end) HungUp() bool {
+	e.w.mu.Lock()
+	defer e.w.mu.Unlock()
+	return e.closed || e.reset || e.finGot
+}
+
+func (e *end) CloseWrite() error {
+	e.w.mu.Lock()
+	defer e.w.mu.Unlock()
+	switch {
+	case e.closed:
+		return net.ErrClosed
+	case e.reset:
+		return syscall.ENOTCONN
+	}
+	e.finSent, e.peer.finGot = true, true
+	e.w.moved.Broadcast()
+	return nil
+}
+
+func (e *end) Close() error {
+	e.w.mu.Lock()
+	if e.closed {
+		e.w.mu.Unlock()
+		return net.ErrClosed
+	}
+	e.closed = true
+	e.peer.finGot = true
+	if len(e.waiting) > 0 { // unread: the other end is reset, and what is on its way to it is destroyed
+		e.peer.reset, e.peer.waiting = true, nil
+	}
+	e.w.moved.Broadcast()
+	e.w.mu.Unlock()
+	if e.onClose != nil {
+		e.onClose()
+	}
+	return nil
+}
+
+// abort resets the connection. What has come at the other end may be destroyed.
+func (e *end) abort(destroy bool) {
+	e.w.mu.Lock()
+	e.peer.reset = true
+	if destroy {
+		e.peer.waiting = nil
+	}
+	e.waiting = nil
+	e.w.mu.Unlock()
+	e.Close()
+}
+
+func (e *end) limit(by *time.Time, t time.Time) error {
+	e.w.mu.Lock()
+	defer e.w.mu.Unlock()
+	if e.closed {
+		return net.ErrClosed
+	}
+	*by = t
+	e.w.moved.Broadcast()
+	if d := time.Until(t); !t.IsZero() && d > 0 {
+		time.AfterFunc(d, func() {
+			e.w.mu.Lock()
+			defer e.w.mu.Unlock()
+			e.w.moved.Broadcast()
+		})
+	}
+	return nil
+}
+
+func (e *end) SetReadDeadline(t time.Time) error  { return e.limit(&e.readBy, t) }
+func (e *end) SetWriteDeadline(t time.Time) error { return e.limit(&e.writeBy, t) }
+func (e *end) SetDeadline(t time.Time) error {
+	if err := e.SetReadDeadline(t); err != nil {
+		return err
+	}
+	return e.SetWriteDeadline(t)
+}
+
+func (e *end) LocalAddr() net.Addr  { return &net.TCPAddr{} }
+func (e *end) RemoteAddr() net.Addr { return &net.TCPAddr{} }
