--- a/internal/gateway/crossfire_test.go
+++ b/internal/gateway/crossfire_test.go
@@ -52,6 +52,7 @@
 	actSlow
 	actAnswer
 	actAnswerAll
+	actIdle
 	actDial
 	actTell
 	actWord
@@ -64,7 +65,7 @@
 )
 
 var actNames = [actCount]string{"connect", "send", "half", "garbage", "close", "reset", "break", "half-close", "slow", "answer",
-	"answer all", "dial", "tell", "word", "wait", "hold", "release", "panic", "stop"}
+	"answer all", "idle", "dial", "tell", "word", "wait", "hold", "release", "panic", "stop"}
 
 // move is one step: which client or server it is about, and how.
 type move struct {
@@ -75,8 +76,8 @@
 func (m move) String() string { return fmt.Sprintf("%s(%d,%d)", actNames[m.Act], m.A, m.B) }
 
 // weights say how often each act is drawn.
-var weights = [actCount]int{actConnect: 5, actSend: 12, actHalf: 3, actGarbage: 1, actClose: 3, actReset: 3, actBreak: 3, actHalfClose: 2,
-	actSlow: 2, actAnswer: 8, actAnswerAll: 4, actDial: 2, actTell: 4, actWord: 4, actWait: 10, actHold: 4, actRelease: 3,
+var weights = [actCount]int{actConnect: 4, actSend: 14, actHalf: 4, actGarbage: 2, actClose: 3, actReset: 3, actBreak: 3, actHalfClose: 2,
+	actSlow: 5, actAnswer: 8, actAnswerAll: 5, actIdle: 3, actDial: 5, actTell: 4, actWord: 4, actWait: 12, actHold: 4, actRelease: 3,
 	actPanic: 1, actStop: 1}
 
 func moves() *rapid.Generator[move] {
@@ -98,7 +99,7 @@
  {"Name":"pay","Effect":"unsafe","AimNs":900000000,"GiveUpNs":2000000000,"Importance":3,"LateWorth":0.2}],
 "Extra":{"PeerIntake":40,"UnitsTop":8},"Instances":%d,"Rank":0,"Zone":"a",
 "Limits":{"SendCap":4,"MayCancel":%v,"ParallelTries":%v,"Peers":true,"RetryAfter":true,"MaxRetryAfterNs":1000000000,
- "ConnectTimeoutNs":250000000,"ConnIdleNs":3000000000,"OpenCap":%d},
+ "ConnectTimeoutNs":800000000,"ConnIdleNs":3000000000,"OpenCap":%d},
 "Safety":{"ColdNs":5000000000,"FallNs":1000000000,"FallMultiple":4,"ColdFrom":0.2},
 "Prices":{"Handshake":0.05},
 "TiersOfService":[{"Name":"p","Refill":%d,"MostAtOnce":%d,"Pays":1},
@@ -282,6 +283,8 @@
 		return nil, syscall.ECONNREFUSED
 	case 3:
 		wait = time.Hour
+	case 4:
+		wait = 600 * time.Millisecond
 	}
 	select {
 	case <-time.After(wait):
@@ -320,9 +323,11 @@
 				break
 			}
 		}
+	case actIdle:
+		x.idle(x.servers[m.A%len(x.servers)], m.B)
 	case actDial:
 		x.mu.Lock()
-		x.servers[m.A%len(x.servers)].mode = m.B % 4
+		x.servers[m.A%len(x.servers)].mode = m.B % 5
 		x.mu.Unlock()
 	case actTell:
 		x.tell(x.servers[m.A%len(x.servers)], m.B)
@@ -385,7 +390,7 @@
 	}
 	room := 64 << 10
 	if m.B%2 == 1 {
-		room = 1 << 10
+		room = 256
 	}
 	for range 1 + m.B/2%4*m.A { // some come in crowds
 		select {
@@ -410,7 +415,7 @@
 	if len(x.clients) == 0 {
 		return
 	}
-	c := x.clients[len(x.clients)-1-m.A%min(len(x.clients), 8)]
+	c := x.clients[len(x.clients)-1-m.A%min(len(x.clients), 3)]
 	if !c.gone.IsZero() || c.over {
 		return
 	}
@@ -568,7 +573,7 @@
 		c.left, c.waits, w.over = "", c.waits[1:], true
 		return true
 	}
-	value := served("v:" + w.ask.id)
+	value := served("v:" + w.ask.id + ":" + strings.Repeat("v", b%4*300))
 	say := value
 	switch b / 8 % 14 {
 	case 3:
@@ -604,6 +609,29 @@
 	return true
 }
 
+// idle has a server do something on a connection on which it owes nothing.
+func (x *cross) idle(s *crossServer, b int) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for _, c := range s.conns {
+		if c.over || len(c.waits) > 0 || len(c.in) > 0 {
+			continue
+		}
+		switch b % 3 {
+		case 0:
+			c.far.Close()
+			c.over = true
+		case 1:
+			c.far.TryWrite([]byte(served("v:late copy")))
+			c.broken = true
+		case 2:
+			c.far.CloseWrite()
+			c.broken = true
+		}
+		return
+	}
+}
+
 // settle lets everything come to rest and looks at what has come out.
 func (x *cross) settle() {
 	for moved := true; moved; {
@@ -832,8 +860,8 @@
 	case r == nil, text == "+PONG":
 		x.fault("answers are out of order: %q", text)
 	case text[0] == '$':
-		if text != "$v:"+r.id {
-			x.fault("%s was served %q", r.id, text)
+		if !strings.HasPrefix(text, "$v:"+r.id+":") {
+			x.fault("%s was served %.40q", r.id, text)
 		}
 	case strings.HasPrefix(text, "-BUSY"):
 		if r.class != "look" && slices.ContainsFunc(r.runs, func(w *run) bool { return !w.never }) {
