Start: wait for an address that is still held, and serve without the peers' meanwhile

At fault: run.go, Run and serve: a client address or UDP address that the process before still had (EADDRINUSE), or that was not on the machine yet (EADDRNOTAVAIL), ended the new process at once, which counts as a crash. Ruled out: waiting for the peers' address before clients are taken in. The process before holds it for up to 3.5 s after it has let go the clients', and a word between gateways may come late anyway; so the loop is handed that socket when it is there. If it is not within 20 s that is an error in the log, and no end of a gateway that serves. Change: internal/gateway/listen.go tries every 20 ms for 20 s, until the context ends, and logs the first wait; any other error is returned at once as before.

--- /dev/null
+++ b/internal/gateway/listen.go
@@ -0,0 +1,82 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	bindRetry  = 20 * time.Millisecond
+	bindWithin = 20 * time.Second // a restarted gateway has to be ready within 30 s
+)
+
+// held reports that an address can't be had now and may be later: the process before this one still has it, or it
+// has not come to the machine yet.
+func held(err error) bool {
+	return errors.Is(err, syscall.EADDRINUSE) || errors.Is(err, syscall.EADDRNOTAVAIL)
+}
+
+// bind opens a socket with open, again and again with a pause of retry as long as its address is held, for so long as
+// within. Any other error of open is returned at once, and the context's once that has ended.
+func bind[S any](ctx context.Context, retry, within time.Duration, open func() (S, error), log *slog.Logger) (S, error) {
+	begun := time.Now()
+	for tries := 0; ; tries++ {
+		s, err := open()
+		switch {
+		case err == nil:
+			return s, nil
+		case ctx.Err() != nil:
+			return s, ctx.Err()
+		case !held(err):
+			return s, err
+		case time.Since(begun) >= within:
+			return s, fmt.Errorf("the address was held for %v: %w", within, err)
+		case tries == 0:
+			log.Warn("waiting for an address", "err", err)
+		}
+		sleep(ctx, retry)
+	}
+}
+
+// listen opens the listener for clients.
+func listen(ctx context.Context, addr string, log *slog.Logger) (net.Listener, error) {
+	var lc net.ListenConfig
+	return bind(ctx, bindRetry, bindWithin, func() (net.Listener, error) { return lc.Listen(ctx, "tcp", addr) }, log)
+}
+
+// peersOpen hands the loop the socket to the other gateways.
+type peersOpen struct{ link *peerLink }
+
+func (p peersOpen) apply(l *loop) { l.peers = p.link }
+
+// linkPeers opens the socket to the other gateways, reads from it, and closes it as the context ends; tasks counts what
+// it does meanwhile. While the address is held the gateway serves without: words of peers may always come late or not
+// at all. Only an error that no waiting mends is returned.
+func linkPeers(ctx context.Context, tasks *sync.WaitGroup, cfg Config, post func(event), log *slog.Logger) error {
+	open := func() (*peerLink, error) { return openPeers(cfg.PeerListen, cfg.Peers) }
+	link, err := open()
+	if err != nil && !held(err) {
+		return err
+	}
+	tasks.Go(func() {
+		if err != nil {
+			if link, err = bind(ctx, bindRetry, bindWithin, open, log); err != nil {
+				if ctx.Err() == nil {
+					log.Error("no word to peers", "err", err)
+				}
+				return
+			}
+		}
+		defer link.conn.Close()
+		defer context.AfterFunc(ctx, func() { link.conn.Close() })()
+		post(peersOpen{link})
+		link.read(post, log)
+	})
+	return nil
+}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -36,8 +36,7 @@
 // Run serves until the context ends; then it takes what still comes for a moment, answers all that it has
 // taken, and returns. Each address that comes over moves is where discovery is from then on.
 func Run(ctx context.Context, cfg Config, moves <-chan netip.AddrPort, log *slog.Logger) error {
-	var lc net.ListenConfig
-	ln, err := lc.Listen(ctx, "tcp", cfg.Listen.String())
+	ln, err := listen(ctx, cfg.Listen.String(), log)
 	if err != nil && ctx.Err() != nil {
 		return nil // told to end before it took anything
 	}
@@ -58,11 +57,9 @@
 	defer wg.Wait()
 	defer cancel()
 	if cfg.PeerListen.IsValid() {
-		if l.peers, err = openPeers(cfg.PeerListen, cfg.Peers); err != nil {
+		if err := linkPeers(inner, &wg, cfg, l.in.post, log); err != nil {
 			return err
 		}
-		defer l.peers.conn.Close()
-		wg.Go(func() { l.peers.read(l.in.post, log) })
 	}
 	heard := make(chan struct{}, 1)
 	wg.Go(func() {
