Lists: refuse aloud what is too long, and hold no list of entries that can't be used

At fault in internal/gateway/discovery.go, fetch: a body was cut at listMost without a word. A longer list failed for ever as "unexpected EOF", one warning for the whole time; one that was whole within the bound and went on was taken. And what is short on the wire could be long in memory: an 8 MiB list of `0`, `{}` or `null` allocated 2728, 1548 and 1002 MB before its first entry was looked at, where a gateway may have 192 MB. Ruled out: cut answers. Without a length a cut right behind the last brace can't be told, but nothing is lost with it, as no prefix of an object is JSON; the comment says so. Bodies that drip are given up in time. Change: one byte over the bound, or a length over it, is errTooLong with size and bound, logged as an error once for each run of failures; the bound stays 8 MiB. An entry checks itself as it is read, so that the first bad one ends the reading; that goes for the configuration's known list too. An answer's head has 64 KiB at most.

--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -115,9 +115,6 @@
 	if err := c.Settings.Decide.Validate(); err != nil {
 		return c, fmt.Errorf("settings: %w", err)
 	}
-	if err := c.Known.check(); err != nil {
-		return c, fmt.Errorf("known: %w", err)
-	}
 	return c, f.peers(&c)
 }
 
--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -21,12 +21,16 @@
 const (
 	connectWithin = 500 * time.Millisecond // to discovery
 	hearFirst     = 100 * time.Millisecond // a gateway that starts waits so long for news before it takes clients in
-	listMost      = 8 << 20                // bytes of a list
+	listMost      = 8 << 20                // bytes of a list: about 70,000 servers
+	headMost      = 64 << 10               // bytes of an answer's head
 )
 
 // errOverbooked says that discovery is up and has turned a call away, as it has too many.
 var errOverbooked = errors.New("discovery has too many calls")
 
+// errTooLong says that a list has more bytes than a gateway takes.
+var errTooLong = errors.New("the list is too long")
+
 // serverList is discovery's form of a list of servers.
 type serverList struct {
 	Version uint64        `json:"version"`
@@ -57,20 +61,23 @@
 	return decide.Gone, fmt.Errorf("server %q: unknown state %q", e.ID, e.State)
 }
 
-// check reports the first entry that can't be used. A list is taken whole or not at all.
-func (l *serverList) check() error {
-	for i := range l.Servers {
-		e := &l.Servers[i]
-		state, err := e.state()
-		if err != nil {
-			return err
-		}
-		if e.ID == "" {
-			return fmt.Errorf("servers[%d] has no id", i)
-		}
-		if _, err := netip.ParseAddrPort(e.Addr); err != nil && state != decide.Gone {
-			return fmt.Errorf("server %q: %w", e.ID, err)
-		}
+// UnmarshalJSON reads an entry and refuses one that can't be used, which ends the reading of its list: a list is taken
+// whole or not at all, and one of millions of empty entries must not be held in memory, where each takes fifty times
+// the bytes that it has on the wire.
+func (e *serverEntry) UnmarshalJSON(raw []byte) error {
+	type plain serverEntry
+	if err := json.Unmarshal(raw, (*plain)(e)); err != nil {
+		return err
+	}
+	if e.ID == "" {
+		return errors.New("a server has no id")
+	}
+	state, err := e.state()
+	if err != nil {
+		return err
+	}
+	if _, err := netip.ParseAddrPort(e.Addr); err != nil && state != decide.Gone {
+		return fmt.Errorf("server %q: %w", e.ID, err)
 	}
 	return nil
 }
@@ -101,7 +108,7 @@
 
 func newWatcher(addr netip.AddrPort, post func(event), log *slog.Logger) *watcher {
 	transport := &http.Transport{DialContext: (&net.Dialer{Timeout: connectWithin}).DialContext,
-		MaxIdleConns: 1, DisableCompression: true}
+		MaxIdleConns: 1, DisableCompression: true, MaxResponseHeaderBytes: headMost}
 	return &watcher{client: &http.Client{Transport: transport}, base: "http://" + addr.String() + "/v1/servers",
 		pause: sleep, post: post, heard: func() {}, log: log}
 }
@@ -137,7 +144,7 @@
 // run makes one call after the other until the context ends.
 func (w *watcher) run(ctx context.Context) {
 	defer w.client.CloseIdleConnections()
-	begun, failing := time.Now(), false
+	begun, failing, long := time.Now(), false, false
 	pacer := watch.New(watch.Config{Agent: w.agent, Held: w.known, Version: w.version, Wait: w.wait, Over: w.over, Check: w.check},
 		rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	for ctx.Err() == nil {
@@ -149,10 +156,14 @@
 		list, err := w.fetch(ctx, url, call.Within)
 		step := pacer.Done(time.Since(begun), watch.Result{End: end(err), Version: list.Version, Full: list.Full, Entries: len(list.Servers)})
 		err = cmp.Or(err, step.Err)
-		if err != nil && !failing && ctx.Err() == nil {
+		switch {
+		case ctx.Err() != nil:
+		case errors.Is(err, errTooLong) && !long: // calls alone never mend it
+			w.log.Error("the list of servers can't be taken, the last one stays", "err", err)
+		case err != nil && !failing:
 			w.log.Warn("discovery is failing", "err", err)
 		}
-		failing = err != nil
+		failing, long = err != nil, errors.Is(err, errTooLong) || long && err != nil
 		if step.Take {
 			kind := decide.FleetDelta
 			if list.Full {
@@ -183,34 +194,51 @@
 	return watch.Failed
 }
 
+// fetch makes one call, which is given up after within, in its body as well. It fails with errOverbooked where discovery
+// turns it away and with errTooLong where the list has more than listMost bytes. An answer that is cut is an error: where
+// it has a length or is chunked, as that says so; where its end is that of the connection, as a reset is no end and an
+// object without its last brace no JSON. What is cut behind that brace has come whole; more behind it than blanks is an
+// error again.
 func (w *watcher) fetch(ctx context.Context, url string, within time.Duration) (serverList, error) {
 	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
-	var list serverList
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
-		return list, fmt.Errorf("making a call: %w", err)
+		return serverList{}, fmt.Errorf("making a call: %w", err)
 	}
 	resp, err := w.client.Do(req)
 	if err != nil {
-		return list, fmt.Errorf("calling discovery: %w", err)
+		return serverList{}, fmt.Errorf("calling discovery: %w", err)
 	}
 	defer resp.Body.Close()
-	raw, err := io.ReadAll(io.LimitReader(resp.Body, listMost))
-	if err != nil {
-		return list, fmt.Errorf("reading the list: %w", err)
-	}
 	switch resp.StatusCode {
 	case http.StatusOK:
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
-		return list, fmt.Errorf("%w: %s", errOverbooked, resp.Status)
+		io.CopyN(io.Discard, resp.Body, headMost) // so that the connection can be used again; an error only costs that
+		return serverList{}, fmt.Errorf("%w: %s", errOverbooked, resp.Status)
 	default:
-		return list, fmt.Errorf("discovery answered %s", resp.Status)
+		return serverList{}, fmt.Errorf("discovery answered %s", resp.Status)
+	}
+	return readList(resp.Body, resp.ContentLength)
+}
+
+// readList reads a list of length bytes, or up to the end where length is below 0.
+func readList(body io.Reader, length int64) (serverList, error) {
+	if length > listMost {
+		return serverList{}, fmt.Errorf("%w: %d bytes, a gateway takes at most %d", errTooLong, length, listMost)
 	}
+	raw, err := io.ReadAll(io.LimitReader(body, listMost+1))
+	if err != nil {
+		return serverList{}, fmt.Errorf("reading the list: %w", err)
+	}
+	if len(raw) > listMost {
+		return serverList{}, fmt.Errorf("%w: %d bytes and more, a gateway takes at most %d", errTooLong, listMost, listMost)
+	}
+	var list serverList
 	if err := json.Unmarshal(raw, &list); err != nil {
-		return list, fmt.Errorf("reading the list: %w", err)
+		return serverList{}, fmt.Errorf("reading the list: %w", err)
 	}
-	return list, list.check()
+	return list, nil
 }
 
 // sleep waits, or less if the context ends.
