--- a/internal/gateway/crossfire_test.go
+++ b/internal/gateway/crossfire_test.go
@@ -116,11 +116,11 @@
 	at        time.Time     // when its last byte was written ...
 	begun     time.Time     // ... and when it was no longer behind more than may be owed
 	answered  time.Time
-	runs      []*run
+	runs      []*arrival
 }
 
-// run is an attempt that has come whole to a server.
-type run struct {
+// arrival is an attempt that has come whole to a server.
+type arrival struct {
 	s     *crossServer
 	ask   *asking
 	first time.Time // when its first byte was written
@@ -129,7 +129,7 @@
 }
 
 type crossClient struct {
-	near, far  *end
+	near, far  *wireEnd
 	out        []byte // to be written as there is room
 	written    int
 	wants      []*asking // commands with no answer yet; nil stands for PING
@@ -145,10 +145,10 @@
 }
 
 type crossConn struct {
-	far    *end
+	far    *wireEnd
 	in     []byte
 	split  int // bytes of the commands that were whole
-	waits  []*run
+	waits  []*arrival
 	left   string // the rest of an answer that was begun
 	over   bool
 	broken bool // what was said on it is no answer, or more than one
@@ -260,7 +260,7 @@
 }
 
 // opened counts a descriptor of the gateway's.
-func (x *cross) opened(e *end) {
+func (x *cross) opened(e *wireEnd) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.fds++
@@ -763,7 +763,7 @@
 			x.fault("%s has two attempts out, at %s and %s", id, w.s.id, s.id)
 		}
 	}
-	w := &run{s: s, ask: a, first: first, over: c.over}
+	w := &arrival{s: s, ask: a, first: first, over: c.over}
 	a.runs, c.waits = append(a.runs, w), append(c.waits, w)
 }
 
@@ -864,7 +864,7 @@
 			x.fault("%s was served %.40q", r.id, text)
 		}
 	case strings.HasPrefix(text, "-BUSY"):
-		if r.class != "look" && slices.ContainsFunc(r.runs, func(w *run) bool { return !w.never }) {
+		if r.class != "look" && slices.ContainsFunc(r.runs, func(w *arrival) bool { return !w.never }) {
 			x.fault("%s (%s) was refused though it may have run", r.id, r.class)
 		}
 	case text != "-ERR failed" && text != "-ERR internal error":
--- a/internal/gateway/wire_test.go
+++ b/internal/gateway/wire_test.go
@@ -16,13 +16,13 @@
 	mu    sync.Mutex
 	moved sync.Cond
 	most  int // bytes that wait at one end
-	a, b  end
+	a, b  wireEnd
 }
 
-// end is one end of a wire.
-type end struct {
+// wireEnd is one end of a wire.
+type wireEnd struct {
 	w               *wire
-	peer            *end
+	peer            *wireEnd
 	waiting         []byte // come, and not yet read here
 	taken           int    // bytes that were read here
 	marks           []mark
@@ -40,7 +40,7 @@
 	at   time.Time
 }
 
-func newWire(most int) (near, far *end) {
+func newWire(most int) (near, far *wireEnd) {
 	w := &wire{most: most}
 	w.moved.L = &w.mu
 	w.a.w, w.b.w = w, w
@@ -51,7 +51,7 @@
 func expired(by time.Time) bool { return !by.IsZero() && !time.Now().Before(by) }
 
 // put writes what there is room for. The lock is held.
-func (e *end) put(b []byte) (int, error) {
+func (e *wireEnd) put(b []byte) (int, error) {
 	if e.fuse > 0 && !e.closed && !e.reset {
 		if e.fuse--; e.fuse == 0 {
 			e.reset, e.peer.closed, e.blown = true, true, time.Now()
@@ -82,13 +82,13 @@
 	}
 }
 
-func (e *end) TryWrite(b []byte) (int, error) {
+func (e *wireEnd) TryWrite(b []byte) (int, error) {
 	e.w.mu.Lock()
 	defer e.w.mu.Unlock()
 	return e.put(b)
 }
 
-func (e *end) Write(b []byte) (n int, err error) {
+func (e *wireEnd) Write(b []byte) (n int, err error) {
 	e.w.mu.Lock()
 	defer e.w.mu.Unlock()
 	for {
@@ -100,7 +100,7 @@
 	}
 }
 
-func (e *end) Read(b []byte) (int, error) {
+func (e *wireEnd) Read(b []byte) (int, error) {
 	e.w.mu.Lock()
 	defer e.w.mu.Unlock()
 	for {
@@ -120,7 +120,7 @@
 	}
 }
 
-func (e *end) take(b []byte) int {
+func (e *wireEnd) take(b []byte) int {
 	n := copy(b, e.waiting)
 	e.waiting, e.taken = e.waiting[n:], e.taken+n
 	e.w.moved.Broadcast()
@@ -128,7 +128,7 @@
 }
 
 // all reads what has come without waiting, and tells whether more may come.
-func (e *end) all() (b []byte, open bool) {
+func (e *wireEnd) all() (b []byte, open bool) {
 	e.w.mu.Lock()
 	defer e.w.mu.Unlock()
 	b = make([]byte, len(e.waiting))
@@ -137,7 +137,7 @@
 }
 
 // writtenAt is when the byte of that number was written to this end.
-func (e *end) writtenAt(n int) (at time.Time) {
+func (e *wireEnd) writtenAt(n int) (at time.Time) {
 	e.w.mu.Lock()
 	defer e.w.mu.Unlock()
 	for _, m := range e.marks {
@@ -148,45 +148,45 @@
 	return at
 }
 
-func (e *end) read() int {
+func (e *wireEnd) read() int {
 	e.w.mu.Lock()
 	defer e.w.mu.Unlock()
 	return e.taken
 }
 
 // breakAfter has the other end break the connection in the nth write from now on.
-func (e *end) breakAfter(n int) {
+func (e *wireEnd) breakAfter(n int) {
 	e.w.mu.Lock()
 	defer e.w.mu.Unlock()
 	e.fuse = n
 }
 
 // broken tells when the other end broke the connection in a write.
-func (e *end) broken() time.Time {
+func (e *wireEnd) broken() time.Time {
 	e.w.mu.Lock()
 	defer e.w.mu.Unlock()
 	return e.blown
 }
 
-func (e *end) shut() bool {
+func (e *wireEnd) shut() bool {
 	e.w.mu.Lock()
 	defer e.w.mu.Unlock()
 	return e.closed
 }
 
-func (e *end) Quiet() bool {
+func (e *wireEnd) Quiet() bool {
 	e.w.mu.Lock()
 	defer e.w.mu.Unlock()
 	return !e.closed && !e.reset && !e.finGot && len(e.waiting) == 0
 }
 
-func (e *end) HungUp() bool {
+func (e *wireEnd) HungUp() bool {
 	e.w.mu.Lock()
 	defer e.w.mu.Unlock()
 	return e.closed || e.reset || e.finGot
 }
 
-func (e *end) CloseWrite() error {
+func (e *wireEnd) CloseWrite() error {
 	e.w.mu.Lock()
 	defer e.w.mu.Unlock()
 	switch {
@@ -200,7 +200,7 @@
 	return nil
 }
 
-func (e *end) Close() error {
+func (e *wireEnd) Close() error {
 	e.w.mu.Lock()
 	if e.closed {
 		e.w.mu.Unlock()
@@ -220,7 +220,7 @@
 }
 
 // abort resets the connection. What has come at the other end may be destroyed.
-func (e *end) abort(destroy bool) {
+func (e *wireEnd) abort(destroy bool) {
 	e.w.mu.Lock()
 	e.peer.reset = true
 	if destroy {
@@ -231,7 +231,7 @@
 	e.Close()
 }
 
-func (e *end) limit(by *time.Time, t time.Time) error {
+func (e *wireEnd) limit(by *time.Time, t time.Time) error {
 	e.w.mu.Lock()
 	defer e.w.mu.Unlock()
 	if e.closed {
@@ -249,14 +249,14 @@
 	return nil
 }
 
-func (e *end) SetReadDeadline(t time.Time) error  { return e.limit(&e.readBy, t) }
-func (e *end) SetWriteDeadline(t time.Time) error { return e.limit(&e.writeBy, t) }
-func (e *end) SetDeadline(t time.Time) error {
+func (e *wireEnd) SetReadDeadline(t time.Time) error  { return e.limit(&e.readBy, t) }
+func (e *wireEnd) SetWriteDeadline(t time.Time) error { return e.limit(&e.writeBy, t) }
+func (e *wireEnd) SetDeadline(t time.Time) error {
 	if err := e.SetReadDeadline(t); err != nil {
 		return err
 	}
 	return e.SetWriteDeadline(t)
 }
 
-func (e *end) LocalAddr() net.Addr  { return &net.TCPAddr{} }
-func (e *end) RemoteAddr() net.Addr { return &net.TCPAddr{} }
+func (e *wireEnd) LocalAddr() net.Addr  { return &net.TCPAddr{} }
+func (e *wireEnd) RemoteAddr() net.Addr { return &net.TCPAddr{} }
