--- a/decide/state.go
+++ b/decide/state.go
@@ -108,23 +108,27 @@
 
 type server struct {
 	Server
-	slow, outAvg       float64 // times the usual time of a class; its usual load
-	slowAt             time.Duration
-	out                int
-	ghosts             []time.Duration // when the attempts were sent that ended unanswered and may still run
-	miss               []rate          // by class: share left or failed, and when that was known
-	short              uint64          // its name in messages
-	sends              rate
-	kept               int           // connections that stand idle, as far as outcomes tell ...
-	keptAt             time.Duration // ... since then at the longest
-	lastGood, budgetAt time.Duration
-	budget             float64 // cold budget, in requests
-	coldUntil          time.Duration
+	slow, outAvg     float64 // times the usual time of a class; its usual load
+	slowAt           time.Duration
+	out              int
+	ghosts           []time.Duration // when the attempts were sent that ended unanswered and may still run
+	miss             []rate          // by class: share left or failed, and when that was known
+	short            uint64          // its name in messages
+	answers          rate
+	kept             int           // connections that stand idle, as far as outcomes tell ...
+	keptAt           time.Duration // ... since then at the longest
+	lastGood         time.Duration
+	phase            float64       // part of the next request to a cold server that has matured ...
+	phaseAt, matured time.Duration // ... by then; when the last one matured ...
+	ripe             bool          // ... and whether it was not sent yet
+	coldUntil        time.Duration
 }
 
 // survey counts the servers at each beat and each change of the list, so that no request needs to.
 type survey struct {
-	serving, warm, sends, open float64
+	serving, open     float64
+	warm              int
+	answers, capacity float64 // answers a second, and the capacities that gave them, in warm servers
 }
 
 type attempt struct {
@@ -220,7 +224,7 @@
 	return nil
 }
 
-// server finds a server, or makes it.
+// server finds a server, or makes it, behind those in order; place puts it where it belongs.
 func (g *Gateway) server(id string) *server {
 	if s := g.servers[id]; s != nil {
 		return s
@@ -228,13 +232,24 @@
 	s := &server{slow: 1, outAvg: 0.5, miss: make([]rate, len(g.cfg.Classes)), short: shortKey(id) & shortMask}
 	g.shorts[s.short] = s
 	g.servers[id] = s
-	at, _ := slices.BinarySearchFunc(g.order, id, func(s *server, id string) int {
-		return strings.Compare(s.ID, id)
-	})
-	g.order = slices.Insert(g.order, at, s)
+	g.order = append(g.order, s)
 	return s
 }
 
+func byID(a, b *server) int { return strings.Compare(a.ID, b.ID) }
+
+// place puts the servers from number n on where they belong in the order of ids: they are sorted, and from the
+// last on those behind each move up, so that no server moves twice however many are new.
+func (g *Gateway) place(n int) {
+	fresh := slices.Clone(g.order[n:])
+	slices.SortFunc(fresh, byID)
+	for k := len(fresh) - 1; k >= 0; k-- {
+		at, _ := slices.BinarySearchFunc(g.order[:n], fresh[k], byID)
+		copy(g.order[at+k+1:], g.order[at:n])
+		g.order[at+k], n = fresh[k], at
+	}
+}
+
 func (g *Gateway) customer(key uint64, planNo int) *customer {
 	if c := g.customers[key]; c != nil {
 		c.last = g.now
