--- a/internal/gateway/resp_test.go
+++ b/internal/gateway/resp_test.go
@@ -66,27 +66,3 @@
 		t.Errorf("got %d bytes, %q, %v", used, args, err)
 	}
 }
-
-func FuzzParseAnswer(f *testing.F) {
-	f.Add([]byte("*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n"))
-	f.Add([]byte("-ERR failed\r\n"))
-	f.Fuzz(func(t *testing.T, b []byte) {
-		a, used, err := parseAnswer(b)
-		if used > len(b) || used < 0 || (err != nil && used != 0) || (used > 0 && (a.outcome == decide.OK) != (len(a.value) > 0)) {
-			t.Errorf("%q: %+v, %d bytes, %v", b, a, used, err)
-		}
-	})
-}
-
-func FuzzNextCommand(f *testing.F) {
-	f.Add([]byte("*1\r\n$4\r\nPING\r\n"))
-	f.Add([]byte("*1\r\n$-9\r\n"))
-	f.Fuzz(func(t *testing.T, b []byte) {
-		if len(b) == 0 {
-			return
-		}
-		if used, _, err := nextCommand(b, nil); used > len(b) || used < 0 || (err != nil && used != 0) {
-			t.Errorf("%q: %d bytes, %v", b, used, err)
-		}
-	})
-}
