A customer is held to the plan of its request, not of the first word or request

It kept the plan that it was first named with for as long as it was known (decide.go, request; state.go, customer): a word of a peer that named another, before any request came, set its quota and ceiling, and a customer that changed plans stayed on the old one while it was in use. Now the plan of a request counts, and buckets are held to its marks. Found by FuzzEvents after 625 executions and by FuzzPeerMessages after 9,277; both inputs failed before and pass.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -720,6 +720,12 @@
 		r.until = min(e.Deadline, g.now+max(0, k.Aim-aimMargin))
 	}
 	c := g.customer(shortKey(e.Customer), planNo)
+	if c.planNo != planNo { // it was changed, or a word named another before any request came
+		g.leak(c)
+		c.plan, c.planNo = &g.cfg.Plans[planNo], planNo
+		c.level, c.whole = min(c.level, c.part*c.plan.Burst), min(c.whole, c.plan.Burst)
+		c.store = min(c.store, c.plan.CeilingBurst*g.slice(c))
+	}
 	if e.Spread > 0 && e.Spread <= g.cfg.Gateways && (c.spread != e.Spread || c.first != e.First) {
 		c.first, c.spread = e.First%g.cfg.Gateways, e.Spread
 		c.store = min(c.store, c.plan.CeilingBurst/float64(c.spread))
