What others say fills a customer's bucket to four bursts at most

Each word added up to 2,047 units (learn) or 128, also the same settlement again (settle), without a bound, so a few words shut a customer out, and kept it from being forgotten, for as long as they leak: 11 minutes a word at 3 units a second. Now a bucket is full at four bursts. Found by FuzzPeerMessages; its input left a customer after 5 minutes of silence before, and leaves none.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -25,6 +25,7 @@
 	sweepLeast  = 4                // customers are looked at, at each beat ...
 	sweepBeats  = 32               // ... and that part of all
 	slackPart   = 0.9              // of the ceiling's slack is used: the rest is for rounding
+	fullMost    = 4.0              // bursts: others' words fill a bucket no further, so it leaks in time
 )
 
 // Sharing.
@@ -228,6 +229,11 @@
 	g.tellSoon(c, 0, len(g.peers))
 }
 
+// fill takes what others say was used of the customer's whole bucket.
+func (c *customer) fill(units float64) {
+	c.whole = max(0, min(c.whole+units, fullMost*c.plan.Burst))
+}
+
 // ---- Sharing.
 
 // tellsAll reports whether the intake lets every gateway tell every other often enough.
@@ -330,7 +336,7 @@
 		c.whole = max(c.whole, level*c.plan.Burst)
 	}
 	t.have, t.at = true, g.now
-	c.whole = max(0, c.whole+diff(t.used, used))
+	c.fill(diff(t.used, used))
 	t.rate.add(g.now, max(0, diff(t.asked, asked)))
 	t.used, t.asked = used, asked
 }
@@ -437,7 +443,7 @@
 	for i := range c.grants {
 		if d := &c.grants[i]; d.from == from && d.no == no && d.ok {
 			g.leak(c)
-			c.whole = max(0, c.whole+more)
+			c.fill(more)
 			d.out = false
 		}
 	}
