A home's word shuts a customer for 30 s at most

An answer carries up to 127.9 s, and answer() took it as it came, though no home puts a wait over waitMost (30 s) on those it refuses. Held to that. The input, written for a check of FuzzPeerMessages, shut the customer for 127.5 s before.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -496,7 +496,7 @@
 		r.granted = from
 	} else {
 		leaks := min(1, (whole+r.units-c.plan.Burst)/max(c.plan.Rate, 1e-9))
-		c.shut = g.now + time.Duration(max(w.v[3], leaks)*float64(time.Second))
+		c.shut = g.now + time.Duration(min(waitMost.Seconds(), max(w.v[3], leaks))*float64(time.Second))
 	}
 	g.decide(r, ok)
 }
