A server whose start lies in the future is cold from now on, not until then

listed() set the end of the cold time from started_ms as told: with one that is ahead of the clock the server's budget fell instead of growing, so it got nothing until then, and once gone it was not forgotten.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -531,7 +531,8 @@
 	}
 	s := g.server(e.ID)
 	if e.Started > s.Started && e.Started+g.cfg.Safety.ColdFor > g.now {
-		s.coldUntil, s.budget, s.budgetAt = e.Started+g.cfg.Safety.ColdFor, g.rng.Float64(), g.now
+		from := min(e.Started, g.now) // by a clock that is ahead it would stay cold until then
+		s.coldUntil, s.budget, s.budgetAt = from+g.cfg.Safety.ColdFor, g.rng.Float64(), g.now
 		s.slow = 1
 		clear(s.miss)
 	}
