Beats are a millisecond apart at least, however large the intake is

beatEvery() divided a second by the intake per peer: beyond 1.25e9 messages a second it is 0, and each beat set the next for the same moment. The input of FuzzSettings, written for its check, beat after 0 s before. Intakes up to 1,250 a second and peer act as they did.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -33,6 +33,7 @@
 	intakePart = 0.8                    // of the stated intake is used by all peers together
 	askedStep  = 0.25                   // of the burst: asked units that are worth telling
 	quietBeat  = 400 * time.Millisecond // an idle peer still says that it lives
+	beatLeast  = time.Millisecond       // between two beats, however large the intake is
 )
 
 // Homes, where the intake is too small for telling everyone.
@@ -246,7 +247,7 @@
 		return homeBeat
 	}
 	perS := intakePart * g.cfg.PeerIntake / float64(max(1, g.cfg.Gateways-1))
-	return time.Duration(float64(time.Second) / max(perS, 1))
+	return max(beatLeast, time.Duration(float64(time.Second)/max(perS, 1)))
 }
 
 // tellSoon queues what is known of a customer for the gateways of those numbers that are in its set.
