Settings that a gateway starts with and can't serve by are refused by their field

Accepted before, each an input written for a check: 524,288 instances with an intake for them (1,073 MB for two customers), a GiveUpNs whose sum with a millisecond wraps (every d out of range), a time below 0, UnitsTop under 1 (every request out of range), a class twice (checked by the first entry and decided by the last: one that is unsafe might be repeated), and more tiers than the one digit of messages tells apart (64). Parse now bounds them.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -74,10 +74,66 @@
 	if err := json.Unmarshal(raw, &s); err != nil {
 		return Settings{}, FieldOf(err)
 	}
+	if err := s.check(); err != nil {
+		return Settings{}, err
+	}
 	c, err := s.config()
 	return Settings{Decide: c, OpenCap: s.Limits.OpenCap}, err
 }
 
+// Bounds on what a gateway is told. Beyond them it would start and then run out of memory or serve nobody.
+const (
+	instancesMost = 1 << 10
+	tiersMost     = 64                   // where gateways talk: a tier has one digit in their messages
+	timeMost      = 366 * 24 * time.Hour // added to the present it must not wrap
+)
+
+// check holds the settings to the bounds.
+func (s *wire) check() error {
+	if s.Instances > instancesMost {
+		return fmt.Errorf("Instances is %d, want %d at most", s.Instances, instancesMost)
+	}
+	if s.Limits.Peers && len(s.TiersOfService) > tiersMost {
+		return fmt.Errorf("TiersOfService has %d entries, want %d at most", len(s.TiersOfService), tiersMost)
+	}
+	if s.Extra.UnitsTop != 0 && s.Extra.UnitsTop < 1 {
+		return fmt.Errorf("Extra.UnitsTop is %v, want 0 or 1 and more", s.Extra.UnitsTop)
+	}
+	times := []span{{"Extra.CountWaitNs", s.Extra.CountWaitNs}, {"Extra.MeterNs", s.Extra.MeterNs},
+		{"Limits.MaxRetryAfterNs", s.Limits.MaxRetryAfterNs}, {"Limits.ConnectTimeoutNs", s.Limits.ConnectTimeoutNs},
+		{"Limits.ConnIdleNs", s.Limits.ConnIdleNs}, {"Safety.AnswerSlackNs", s.Safety.AnswerSlackNs},
+		{"Safety.DrainGraceNs", s.Safety.DrainGraceNs}, {"Safety.ColdNs", s.Safety.ColdNs},
+		{"Safety.FallNs", s.Safety.FallNs}, {"Safety.AskWithinNs", s.Safety.AskWithinNs}}
+	names := map[string]bool{}
+	for i, k := range s.Classes {
+		at := fmt.Sprintf("Classes[%d].", i)
+		times = append(times, span{at + "AimNs", k.AimNs}, span{at + "GiveUpNs", k.GiveUpNs}, span{at + "WindowNs", k.WindowNs})
+		if names[k.Name] {
+			return fmt.Errorf("%sName: %q comes twice", at, k.Name)
+		}
+		names[k.Name] = true
+	}
+	for _, t := range times {
+		if t.ns < 0 || t.ns > int64(timeMost) {
+			return fmt.Errorf("%s is %d, want 0 to %d", t.field, t.ns, int64(timeMost))
+		}
+	}
+	clear(names)
+	for i, p := range s.TiersOfService {
+		if names[p.Name] {
+			return fmt.Errorf("TiersOfService[%d].Name: %q comes twice", i, p.Name)
+		}
+		names[p.Name] = true
+	}
+	return nil
+}
+
+// span is a time that stands in a field.
+type span struct {
+	field string
+	ns    int64
+}
+
 func (s *wire) config() (decide.Config, error) {
 	c := decide.Config{Rank: s.Rank, Gateways: s.Instances, Zone: s.Zone, SettledLater: s.Extra.CostAfter,
 		MaxUnits: s.Extra.UnitsTop, MeterPeriod: time.Duration(s.Extra.MeterNs), PeerIntake: s.Extra.PeerIntake,
