A length has one form: $01 and $-0 are no headers

A value goes to the client with the header that the server wrote, and header() took what Atoi takes. Clients that read lengths strictly would take "$01" or "$-0" for a protocol error and end the connection, with all answers owed on it. Now such an answer is noise, and such a command bad framing.

--- a/internal/gateway/resp.go
+++ b/internal/gateway/resp.go
@@ -24,7 +24,9 @@
 
 var errFraming = errors.New("protocol error: expected an array of bulk strings within the limits")
 
-// header reads a kind and a number, such as "$12\r\n". used is 0 while more of it must come.
+// header reads a kind and a number, such as "$12\r\n". used is 0 while more of it must come. A number has one form
+// only: a client takes "$012\r\n" or "$-0\r\n", passed on to it with a value, for a protocol error, and ends the
+// connection with all that is owed on it.
 func header(b []byte, kind byte, least, most int) (n, used int, err error) {
 	if len(b) == 0 {
 		return 0, 0, nil
@@ -37,7 +39,7 @@
 		return 0, 0, nil
 	}
 	n, err = strconv.Atoi(string(b[1 : end-1]))
-	if err != nil || n < least || n > most || b[1] == '+' {
+	if err != nil || n < least || n > most || strconv.Itoa(n) != string(b[1:end-1]) {
 		return 0, 0, errFraming
 	}
 	return n, end + 1, nil
