A command whose name is not ASCII is no request

interpret() compares names in upper case, where 'ſ' (two bytes) is an S, so "Q.Aſk" was taken, charged, and sent on unchanged to servers, which don't know it; their error counts against them. parseRequest() now wants the name's own length.

--- a/internal/gateway/command.go
+++ b/internal/gateway/command.go
@@ -77,6 +77,9 @@
 	if len(args) <= listArg || len(args) > listArg+2 {
 		return nil, errors.New("wrong number of arguments")
 	}
+	if len(args[0]) != len(name) { // a letter such as 'ſ' is an S in upper case, and two bytes
+		return nil, errors.New("the command's name is not in ASCII")
+	}
 	customer, id, list := args[customerArg], args[idArg], args[listArg]
 	if n, err := strconv.ParseUint(string(customer), 16, 64); err != nil || len(customer) != 16 || n > customerMost {
 		return nil, errors.New("the customer is not 16 hex digits, below 2^33")
