Limits of the configuration have an upper bound too

From 2^43 MB on memory_mb wraps in bytes, and at 2^44 the part for open commands is 0: the gateway started and refused every request. Cores and sockets are bounded with it (4,096 and 2^24).

--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -15,6 +15,13 @@
 	"winghatch/internal/settings"
 )
 
+// Limits beyond these are slips. In bytes, memory beyond them would wrap, and nothing would be let in.
+const (
+	coresMost   = 1 << 12
+	memoryMost  = 1 << 30 // MB
+	socketsMost = 1 << 24
+)
+
 // Config is what one gateway is told at its start.
 type Config struct {
 	Name       string
@@ -101,6 +108,10 @@
 		return c, fmt.Errorf("limits: got %v cores, %d MB, %d sockets, want more than 0, 0 and at least %d",
 			c.Cores, c.MemoryMB, c.Sockets, leastSockets)
 	}
+	if c.Cores > coresMost || c.MemoryMB > memoryMost || c.Sockets > socketsMost {
+		return c, fmt.Errorf("limits: got %v cores, %d MB, %d sockets, want at most %d, %d and %d",
+			c.Cores, c.MemoryMB, c.Sockets, coresMost, memoryMost, socketsMost)
+	}
 	seed, err := strconv.ParseUint(f.Seed, 16, 64)
 	if err != nil {
 		return c, fmt.Errorf("seed: %w", err)
