Only a customer's home answers for it

answer() believed a word on an open question from any gateway, also on a plan with a ceiling: it let the request in and set the settlement to go to a gateway that keeps no bucket. FuzzPeerMessages now checks who decided, and says answers of others; its input was sent on before and waits for the home now.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -476,10 +476,10 @@
 	}
 }
 
-// answer takes the home's word: it settles part and level, and then the bucket decides.
+// answer takes the home's word: it settles part and level, and then the bucket decides. Another's is dropped.
 func (g *Gateway) answer(from int, w word) {
 	r := g.asks[w.no]
-	if r == nil || r.cust.key != w.key {
+	if r == nil || r.cust.key != w.key || (from != g.home(w.key, 0) && from != g.home(w.key, 1)) {
 		return
 	}
 	ok, whole := w.v[0] > 0, w.v[1]
--- a/decide/fuzz_test.go
+++ b/decide/fuzz_test.go
@@ -414,10 +414,17 @@
 		}
 		w.v[0] = float64(n >> 6 & 1)
 		text = w.text()
-		from = h.g.home(w.key, n>>4&1)
+		if n>>4&3 != 3 {
+			from = h.g.home(w.key, n>>4&1)
+		}
 	}
 	h.words++
+	waiting := len(h.g.asks)
 	h.do(PeerMessage{From: from, Text: text})
+	if w, ok := parseWord(text); ok && h.cfg.Gateways > 1 && len(h.g.asks) != waiting && from != h.g.home(w.key, 0) &&
+		from != h.g.home(w.key, 1) {
+		h.t.Fatalf("%q decided a request, from %d, which is no home", text, from)
+	}
 	h.look()
 }
 
