--- a/decide/fuzz_test.go
+++ b/decide/fuzz_test.go
@@ -13,6 +13,7 @@
 const (
 	scriptMost = 2 << 10 // bytes of a script
 	stepsMost  = 256
+	strayTry   = 3      // the number of an attempt that no request comes to
 	spare      = 5 * ms // a request is decided so long after its deadline at the latest, as the loop wants it
 )
 
@@ -80,6 +81,7 @@
 	timers  []due
 	asked   []word // questions put to homes, the last ones
 	words   int    // messages from peers
+	said    PeerMessage
 	n       int
 }
 
@@ -244,19 +246,25 @@
 	}
 }
 
-// end tells how an attempt ended; twice is told as well.
-func (h *host) end(x *try, o Outcome, units float64) {
+// end tells how an attempt ended; twice is told as well. The bits tell true units, use, and a beginning before.
+func (h *host) end(x *try, o Outcome, bits int) {
 	if x.over {
 		return
 	}
 	r := x.of
+	if bits&64 != 0 {
+		h.do(AnswerStarted{ID: r.ID, Server: x.server.ID, Attempt: x.n, Took: 10 * ms})
+	}
 	x.over, x.ran = true, !o.neverRan()
 	r.out--
 	if o == OK && !r.gone {
 		r.answered = true // the value has gone to the client
 	}
 	ev := AttemptEnded{ID: r.ID, Server: x.server.ID, Attempt: x.n, Outcome: o, Took: 20 * ms,
-		Done: r.answered || r.gone, TrueUnits: units}
+		Done: r.answered || r.gone, TrueUnits: float64(bits & 7)}
+	if bits&128 != 0 {
+		ev.Metered = 1 + bits&56*4 // percent
+	}
 	h.do(ev)
 	h.do(ev)
 }
@@ -357,10 +365,12 @@
 	case 3:
 		n := h.s.next()
 		if x := h.tryOf(n >> 3); x != nil {
-			h.end(x, OK+Outcome(n&7), float64(h.s.next()&7))
+			h.end(x, OK+Outcome(n&7), h.s.next())
 		}
 	case 4:
-		if n := h.s.next(); len(h.open) > 0 {
+		if n := h.s.next(); n >= 128 {
+			h.stray(n)
+		} else if len(h.open) > 0 {
 			r := h.open[n%len(h.open)]
 			r.gone = true
 			h.do(ClientGone{r.ID})
@@ -372,6 +382,41 @@
 	h.look()
 }
 
+// stray tells what a gateway can't use: of what it never heard of, what it has already, or what it never asked for.
+func (h *host) stray(n int) {
+	switch n >> 4 & 7 {
+	case 0:
+		if len(h.open) > 0 {
+			h.do(h.open[n&15%len(h.open)].Request)
+		}
+	case 1, 2:
+		h.n++
+		r := &errand{Request: Request{ID: fmt.Sprint("q", h.n), Class: "get", Plan: "no such", Units: 1, Deadline: h.now + ms}}
+		if n&1 == 1 {
+			r.Class, r.Plan = "no such", "wide"
+		}
+		h.errands[r.ID], h.open = r, append(h.open, r)
+		if h.do(r.Request); !r.answered {
+			h.t.Fatalf("%+v is not refused at once", r.Request)
+		}
+	case 3:
+		for _, at := range []int{strayTry + n&7, -1} {
+			h.do(AttemptEnded{ID: fmt.Sprint("q", n&15), Server: "s1", Attempt: at, Outcome: OK, Done: true})
+		}
+	case 4:
+		h.do(AnswerStarted{ID: fmt.Sprint("q", n&15), Server: "s9", Attempt: strayTry})
+	case 5:
+		h.do(ClientGone{fmt.Sprint("none", n)})
+		h.do(TimerFired{uint64(1000000 + n)})
+	case 6:
+		h.do(ProbeEnded{Server: "s1", Outcome: OK, Report: Report{"queue": math.NaN()}})
+		h.do(Counted{Name: uint64(n), Outcome: TimedOut})
+	case 7:
+		h.do(PeerMessage{From: 1 << 40, Text: "a00000111020"})
+		h.do(PeerMessage{From: -n, Text: "c0000"})
+	}
+}
+
 // say is a message of a peer, more or less like one that a gateway sends.
 func (h *host) say(op int) {
 	from := h.s.next()%(h.cfg.Gateways+2) - 1
@@ -387,7 +432,12 @@
 	text := ""
 	switch op {
 	case 0:
-		text = string(h.s.take(h.s.next()))
+		n := h.s.next()
+		if text = h.said.Text; n < 192 {
+			text = string(h.s.take(n))
+		} else if n&1 == 1 { // it comes twice
+			from = h.said.From
+		}
 	case 1: // what is used of customers
 		var b strings.Builder
 		epoch := h.s.next() & 1
@@ -401,6 +451,10 @@
 		text = "ard"[n%3:][:1] + key() + h.s.digits(3) + h.s.digits(2*(n>>2&3+1))
 		if n>>4 == 0 {
 			text += "." + h.s.digits(sightLen*(n>>2))
+		} else if n>>4 < 4 { // of a server that is known here
+			var b strings.Builder
+			encode(&b, shortKey(fmt.Sprint("s", n>>2&7))&shortMask, 3)
+			text += "." + b.String() + h.s.digits(1)
 		}
 	case 3: // the answer to a question
 		n := h.s.next()
@@ -420,7 +474,8 @@
 	}
 	h.words++
 	waiting := len(h.g.asks)
-	h.do(PeerMessage{From: from, Text: text})
+	h.said = PeerMessage{From: from, Text: text}
+	h.do(h.said)
 	if w, ok := parseWord(text); ok && h.cfg.Gateways > 1 && len(h.g.asks) != waiting && from != h.g.home(w.key, 0) &&
 		from != h.g.home(w.key, 1) {
 		h.t.Fatalf("%q decided a request, from %d, which is no home", text, from)
@@ -467,8 +522,10 @@
 // FuzzEvents: any sequence of events keeps the rules on answers, attempts and servers, and leaves nothing behind.
 func FuzzEvents(f *testing.F) {
 	life := []byte{1, 0, 2, 2, 255, 3, 0, 0, 0, 9, 3, 1, 1, 0, 40, 2, 3, 1, 60, 0, 3, 3, 3, 0, 120, 5, 36, 1, 1, 255, 1, 200, 3, 3, 0, 5, 4, 0}
+	stray := []byte{4, 128, 4, 144, 4, 145, 4, 176, 4, 192, 4, 208, 4, 224, 4, 240}
 	for mode := range 8 {
 		f.Add(append([]byte{byte(mode), 0, 0, 0, 0, 0, 0, 0, 0}, life...))
+		f.Add(append([]byte{byte(mode), 0, 0, 0, 0, 0, 0, 0, 0, 1, 0, 0, 99, 0, 3, 0, 255}, stray...))
 	}
 	f.Fuzz(func(t *testing.T, b []byte) {
 		h := newHost(t, b)
