--- a/decide/decide.go
+++ b/decide/decide.go
@@ -25,6 +25,7 @@
 	sweepLeast  = 4                // customers are looked at, at each beat ...
 	sweepBeats  = 32               // ... and that part of all
 	slackPart   = 0.9              // of the ceiling's slack is used: the rest is for rounding
+	fullMost    = 4.0              // bursts: others' words fill a bucket no further, so it leaks in time
 )
 
 // Sharing.
@@ -32,6 +33,7 @@
 	intakePart = 0.8                    // of the stated intake is used by all peers together
 	askedStep  = 0.25                   // of the burst: asked units that are worth telling
 	quietBeat  = 400 * time.Millisecond // an idle peer still says that it lives
+	beatLeast  = time.Millisecond       // between two beats, however large the intake is
 )
 
 // Homes, where the intake is too small for telling everyone.
@@ -230,6 +232,11 @@
 	g.tellSoon(c, 0, len(g.peers))
 }
 
+// fill takes what others say was used of the customer's whole bucket.
+func (c *customer) fill(units float64) {
+	c.whole = max(0, min(c.whole+units, fullMost*c.plan.Burst))
+}
+
 // ---- Sharing.
 
 // tellsAll reports whether the intake lets every gateway tell every other often enough.
@@ -242,7 +249,7 @@
 		return homeBeat
 	}
 	perS := intakePart * g.cfg.PeerIntake / float64(max(1, g.cfg.Gateways-1))
-	return time.Duration(float64(time.Second) / max(perS, 1))
+	return max(beatLeast, time.Duration(float64(time.Second)/max(perS, 1)))
 }
 
 // tellSoon queues what is known of a customer for the gateways of those numbers that are in its set.
@@ -332,7 +339,7 @@
 		c.whole = max(c.whole, level*c.plan.Burst)
 	}
 	t.have, t.at = true, g.now
-	c.whole = max(0, c.whole+diff(t.used, used))
+	c.fill(diff(t.used, used))
 	t.rate.add(g.now, max(0, diff(t.asked, asked)))
 	t.used, t.asked = used, asked
 }
@@ -439,7 +446,7 @@
 	for i := range c.grants {
 		if d := &c.grants[i]; d.from == from && d.no == no && d.ok {
 			g.leak(c)
-			c.whole = max(0, c.whole+more)
+			c.fill(more)
 			d.out = false
 		}
 	}
@@ -471,10 +478,10 @@
 	}
 }
 
-// answer takes the home's word: it settles part and level, and then the bucket decides.
+// answer takes the home's word: it settles part and level, and then the bucket decides. Another's is dropped.
 func (g *Gateway) answer(from int, w word) {
 	r := g.asks[w.no]
-	if r == nil || r.cust.key != w.key {
+	if r == nil || r.cust.key != w.key || (from != g.home(w.key, 0) && from != g.home(w.key, 1)) {
 		return
 	}
 	ok, whole := w.v[0] > 0, w.v[1]
@@ -492,7 +499,7 @@
 		r.granted = from
 	} else {
 		leaks := min(1, (whole+r.units-c.plan.Burst)/max(c.plan.Rate, 1e-9))
-		c.shut = g.now + time.Duration(max(w.v[3], leaks)*float64(time.Second))
+		c.shut = g.now + time.Duration(min(waitMost.Seconds(), max(w.v[3], leaks))*float64(time.Second))
 	}
 	g.decide(r, ok)
 }
@@ -528,7 +535,8 @@
 	}
 	s := g.server(e.ID)
 	if e.Started > s.Started && e.Started+g.cfg.Safety.ColdFor > g.now {
-		s.coldUntil, s.phase, s.phaseAt = e.Started+g.cfg.Safety.ColdFor, g.rng.Float64(), g.now
+		from := min(e.Started, g.now) // by a clock that is ahead it would stay cold until then
+		s.coldUntil, s.phase, s.phaseAt = from+g.cfg.Safety.ColdFor, g.rng.Float64(), g.now
 		s.slow, s.ripe, s.answers = 1, false, rate{}
 		clear(s.miss)
 	}
@@ -771,6 +779,12 @@
 		r.until = min(e.Deadline, g.now+max(0, k.Aim-aimMargin))
 	}
 	c := g.customer(shortKey(e.Customer), planNo)
+	if c.planNo != planNo { // it was changed, or a word named another before any request came
+		g.leak(c)
+		c.plan, c.planNo = &g.cfg.Plans[planNo], planNo
+		c.level, c.whole = min(c.level, c.part*c.plan.Burst), min(c.whole, c.plan.Burst)
+		c.store = min(c.store, c.plan.CeilingBurst*g.slice(c))
+	}
 	if e.Spread > 0 && e.Spread <= g.cfg.Gateways && (c.spread != e.Spread || c.first != e.First) {
 		c.first, c.spread = e.First%g.cfg.Gateways, e.Spread
 		c.store = min(c.store, c.plan.CeilingBurst/float64(c.spread))
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -15,6 +15,13 @@
 	"winghatch/internal/settings"
 )
 
+// Limits beyond these are slips. In bytes, memory beyond them would wrap, and nothing would be let in.
+const (
+	coresMost   = 1 << 12
+	memoryMost  = 1 << 30 // MB
+	socketsMost = 1 << 24
+)
+
 // Config is what one gateway is told at its start.
 type Config struct {
 	Name       string
@@ -44,7 +51,7 @@
 	} `json:"limits"`
 	PeerListen string          `json:"peer_listen"`
 	Peers      []string        `json:"peers"`
-	Known      serverList      `json:"known"`
+	Known      json.RawMessage `json:"known"`
 	Settings   json.RawMessage `json:"settings"`
 }
 
@@ -89,8 +96,13 @@
 }
 
 func (f *fileConfig) config() (Config, error) {
-	c := Config{Name: f.Name, Cores: f.Limits.Cores, MemoryMB: f.Limits.MemoryMB, Sockets: f.Limits.Sockets, Known: f.Known}
+	c := Config{Name: f.Name, Cores: f.Limits.Cores, MemoryMB: f.Limits.MemoryMB, Sockets: f.Limits.Sockets}
 	var err error
+	if len(f.Known) > 0 {
+		if err := json.Unmarshal(f.Known, &c.Known); err != nil {
+			return c, fmt.Errorf("known: %w", settings.FieldOf(err))
+		}
+	}
 	if c.Listen, err = netip.ParseAddrPort(f.Listen); err != nil {
 		return c, fmt.Errorf("listen: %w", err)
 	}
@@ -101,6 +113,10 @@
 		return c, fmt.Errorf("limits: got %v cores, %d MB, %d sockets, want more than 0, 0 and at least %d",
 			c.Cores, c.MemoryMB, c.Sockets, leastSockets)
 	}
+	if c.Cores > coresMost || c.MemoryMB > memoryMost || c.Sockets > socketsMost {
+		return c, fmt.Errorf("limits: got %v cores, %d MB, %d sockets, want at most %d, %d and %d",
+			c.Cores, c.MemoryMB, c.Sockets, coresMost, memoryMost, socketsMost)
+	}
 	seed, err := strconv.ParseUint(f.Seed, 16, 64)
 	if err != nil {
 		return c, fmt.Errorf("seed: %w", err)
--- a/internal/gateway/resp.go
+++ b/internal/gateway/resp.go
@@ -121,10 +121,15 @@
 	if err != nil || from == 0 {
 		return a, 0, err
 	}
-	_, n, err := bulk(b[from:], 0, valueMost)
+	value, n, err := bulk(b[from:], 0, valueMost)
 	if err != nil || n == 0 {
 		return a, 0, err
 	}
+	// The value goes to the client with its header. One that reads lengths strictly would take "$012\r\n" or "$-0\r\n"
+	// for a protocol error, and end the connection with all that is owed on it.
+	if n != len("$\r\n\r\n")+len(strconv.Itoa(len(value)))+len(value) {
+		return a, 0, errSpoilt
+	}
 	at := from + n
 	a = answer{decide.OK, b[from:at], true}
 	for range 2 { // figures on use, load report
