--- a/internal/gateway/fuzz_test.go
+++ b/internal/gateway/fuzz_test.go
@@ -382,6 +382,11 @@
 	f.Add(fmt.Appendf(nil, goodFile, `{"Classes":[{"Name":"look","Effect":"safe","AimNs":1}],"Instances":2,"Limits":{"SendCap":1}}`))
 	f.Add(fmt.Appendf(nil, goodFile, `{"Classes":7}`))
 	f.Add(fmt.Appendf(nil, goodFile, `[]`))
+	good := fmt.Sprintf(goodFile, set)
+	for _, slip := range [][2]string{{`"peer_listen":"127.0.0.1:7000`, `"peer_listen":"here`}, {`"peers":["127`, `"peers":["there`},
+		{`,"127.0.0.1:7001"`, ``}, {`"seed":"1f`, `"seed":"one`}, {`"sockets":128`, `"sockets":8`}, {`"state":"up"`, `"state":"odd"`}} {
+		f.Add([]byte(strings.Replace(good, slip[0], slip[1], 1)))
+	}
 	f.Add([]byte(`{"listen":"::","known":{"servers":[{}]}}`))
 	f.Add([]byte(`"listen"`))
 	path := filepath.Join(f.TempDir(), "config.json")
--- a/internal/settings/fuzz_test.go
+++ b/internal/settings/fuzz_test.go
@@ -54,6 +54,7 @@
 	add(second, 4*second, 2*second, 0.5, 40, 8, 0, 0, 0, 1, 1)
 	for _, text := range []string{`{}`, `{"Classes":[{"Name":"a","Effect":"odd","AimNs":1}]}`, `{"Classes":{}}`, `{"Extra":{"PeerIntake":"x"}}`,
 		`{"Classes":[{"Name":"a","Effect":"safe","Group":"odd","AimNs":1}]}`, `{"Instances":1.5}`, `{"Instances":1e400}`, `[]`,
+		`{"TiersOfService":[{"Name":"p"},{"Name":"p"}]}`,
 		`{"Classes":[{"Name":"a","Effect":"unsafe","AimNs":1}],"Instances":1,"Limits":{"SendCap":1},"TiersOfService":[{"Name":""}]}`} {
 		f.Add(text, second, second, second, 0.0, 0.0, 0.0, 1, 0, 1, 0.0, 0.0)
 	}
