Guards for what the search found; room for each newcomer; words of peers bounded

Now the quietest is ended for each newcomer beyond the clients' share, as well.

Of what the fuzz targets' author left open: a settlement that comes twice counts once, a home holds a customer to the plan that a question names, and words beyond four times the stated intake are dropped unread.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -232,6 +232,17 @@
 	g.tellSoon(c, 0, len(g.peers))
 }
 
+// replan holds a customer to the plan that its request names. It was changed, or a word named another before.
+func (g *Gateway) replan(c *customer, planNo int) {
+	if c.planNo == planNo {
+		return
+	}
+	g.leak(c)
+	c.plan, c.planNo = &g.cfg.Plans[planNo], planNo
+	c.level, c.whole = min(c.level, c.part*c.plan.Burst), min(c.whole, c.plan.Burst)
+	c.store = min(c.store, c.plan.CeilingBurst*g.slice(c))
+}
+
 // fill takes what others say was used of the customer's whole bucket.
 func (c *customer) fill(units float64) {
 	c.whole = max(0, min(c.whole+units, fullMost*c.plan.Burst))
@@ -426,7 +437,7 @@
 	} else {
 		c.wait *= waitShrink
 	}
-	c.grants = append(c.grants, grant{from, no, g.now, ok, ok && c.plan.MaxOpen > 0})
+	c.grants = append(c.grants, grant{from: from, no: no, at: g.now, ok: ok, out: ok && c.plan.MaxOpen > 0})
 	return ok, c.wait
 }
 
@@ -444,10 +455,10 @@
 
 func (g *Gateway) settle(c *customer, from int, no uint64, more float64) {
 	for i := range c.grants {
-		if d := &c.grants[i]; d.from == from && d.no == no && d.ok {
+		if d := &c.grants[i]; d.from == from && d.no == no && d.ok && !d.settled {
 			g.leak(c)
 			c.fill(more)
-			d.out = false
+			d.out, d.settled = false, true
 		}
 	}
 }
@@ -469,6 +480,7 @@
 	case w.kind == 'a' && w.n == 1 && w.v[0] >= 0 && mine:
 		g.askRate.add(g.now, 1)
 		c := g.customer(w.key, w.plan)
+		g.replan(c, w.plan)
 		ok, wait := g.grant(c, from, w.no, w.v[0])
 		g.tell(from, 'r', c, w.no, float64(b2i(ok)), c.whole, c.fleet.get(g.now), wait)
 	case w.kind == 'd' && w.n == 1 && mine:
@@ -779,12 +791,7 @@
 		r.until = min(e.Deadline, g.now+max(0, k.Aim-aimMargin))
 	}
 	c := g.customer(shortKey(e.Customer), planNo)
-	if c.planNo != planNo { // it was changed, or a word named another before any request came
-		g.leak(c)
-		c.plan, c.planNo = &g.cfg.Plans[planNo], planNo
-		c.level, c.whole = min(c.level, c.part*c.plan.Burst), min(c.whole, c.plan.Burst)
-		c.store = min(c.store, c.plan.CeilingBurst*g.slice(c))
-	}
+	g.replan(c, planNo)
 	if e.Spread > 0 && e.Spread <= g.cfg.Gateways && (c.spread != e.Spread || c.first != e.First) {
 		c.first, c.spread = e.First%g.cfg.Gateways, e.Spread
 		c.store = min(c.store, c.plan.CeilingBurst/float64(c.spread))
--- a/decide/quota_test.go
+++ b/decide/quota_test.go
@@ -305,3 +305,35 @@
 		t.Logf("%d gateways: %.4f more than late at most", n, slices.Max(costs))
 	}
 }
+
+// A settlement that comes twice counts once, and a home holds a customer to the plan that a question names, whatever was
+// said of it before.
+func TestWordsThatComeTwiceOrNameAnotherPlan(t *testing.T) {
+	cfg := testConfig()
+	cfg.Gateways, cfg.PeerIntake, cfg.Limits.Peers = 300, 100, true
+	g, err := New(cfg, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	key := uint64(300) // its home is gateway 0
+	plan := len(cfg.Plans) - 1
+	say := func(kind byte, plan int, no uint64, v float64) {
+		g.Handle(time.Second, PeerMessage{From: 7, Text: word{kind: kind, key: key, plan: plan, no: no, n: 1, v: [4]float64{v}}.text()})
+	}
+	say('a', 0, 7, 1)
+	c := g.customers[key]
+	if c == nil || len(c.grants) != 1 {
+		t.Fatal("the question was not answered")
+	}
+	before := c.whole
+	say('d', 0, 7, 2)
+	once := c.whole
+	say('d', 0, 7, 2)
+	if !c.grants[0].ok || once != before+2 || c.whole != once {
+		t.Errorf("the bucket held %v, after a settlement %v, after the same again %v", before, once, c.whole)
+	}
+	say('a', plan, 8, 1)
+	if plan == 0 || c.planNo != plan || c.plan != &g.cfg.Plans[plan] {
+		t.Errorf("the customer is held to plan %d, want %d", c.planNo, plan)
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -104,6 +104,8 @@
 	at   time.Duration
 	ok   bool
 	out  bool // an attempt is out
+	// settled: its end was told. A word may come twice, and must not count twice.
+	settled bool
 }
 
 type server struct {
--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -109,10 +109,20 @@
 
 func (e joined) apply(l *loop) {
 	<-l.ahead
-	if len(l.clients) >= clientSockets(l.cfg.Sockets) {
+	// Those that end on their own account hold a descriptor for a while longer. So room is made before the last is
+	// taken, for each newcomer anew: a crowd would else leave a usual client to chance.
+	live := 0
+	for c := range l.clients {
+		live += b2i(!c.ending())
+	}
+	if live >= clientSockets(l.cfg.Sockets) {
+		l.weanQuietest()
+	}
+	most := l.cfg.Sockets - leastSockets
+	if len(l.clients) >= most {
 		l.evictClient()
 	}
-	if len(l.clients) >= l.cfg.Sockets-leastSockets {
+	if len(l.clients) >= most {
 		e.c.advance(l, phaseClosed) // unread: the client sends what it may have written once more, elsewhere
 		return
 	}
@@ -125,17 +135,23 @@
 	}
 }
 
-// evictClient makes room for a new connection by closing the one that has been quiet for longest. (Closing those
-// that have not asked yet in its place was measured: in a crowd of newcomers it is they who are about to ask.) If
-// all are owed answers nothing is closed, and the new one takes from the servers' share of descriptors. One that only
-// lingers goes first.
+// evictClient makes room for a new connection: one that only lingers goes first, else the quietest is to end.
 func (l *loop) evictClient() {
-	var quiet *client
 	for c := range l.clients {
 		if c.phase == phaseLingering {
 			l.closeClient(c)
 			return
 		}
+	}
+	l.weanQuietest()
+}
+
+// weanQuietest ends the connection that has been quiet for longest. (Ending those that have not asked yet in its place
+// was measured: in a crowd of newcomers it is they who are about to ask.) If all are owed answers nothing is ended, and
+// a new one takes from the servers' share of descriptors.
+func (l *loop) weanQuietest() {
+	var quiet *client
+	for c := range l.clients {
 		if len(c.slots) == 0 && !c.busy && !c.ending() && (quiet == nil || c.used < quiet.used) {
 			quiet = c
 		}
@@ -145,6 +161,13 @@
 	}
 }
 
+func b2i(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 // wean ends a connection between requests: its reader stops once nothing is owed and nothing more waits in the
 // kernel. Closing at once would lose a request that has come; a reader that stopped while answers are owed would
 // not see the client leave.
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -59,7 +59,13 @@
 // it does meanwhile. While the address is held the gateway serves without: words of peers may always come late or not
 // at all. Only an error that no waiting mends is returned.
 func linkPeers(ctx context.Context, tasks *sync.WaitGroup, cfg Config, post func(event), log *slog.Logger) error {
-	open := func() (*peerLink, error) { return openPeers(cfg.PeerListen, cfg.Peers) }
+	open := func() (*peerLink, error) {
+		p, err := openPeers(cfg.PeerListen, cfg.Peers)
+		if err == nil {
+			p.most = int(min(peerOver*cfg.Settings.Decide.PeerIntake, 1<<30))
+		}
+		return p, err
+	}
 	link, err := open()
 	if err != nil && !held(err) {
 		return err
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -6,17 +6,26 @@
 	"log/slog"
 	"net"
 	"net/netip"
+	"time"
 
 	"winghatch/decide"
 )
 
 const datagramMost = 256 // bytes of a message between gateways
 
+// A gateway takes in so many times the stated intake of messages, counted over peerSpan: the network keeps to that intake
+// itself, but whoever can send to the port may not, and every word on a new customer takes memory for seconds.
+const (
+	peerOver = 4
+	peerSpan = time.Second
+)
+
 // peerLink is the socket to the other gateways.
 type peerLink struct {
 	conn  *net.UDPConn
 	addrs []netip.AddrPort
 	ranks map[netip.AddrPort]int
+	most  int // messages in a span; 0: no limit
 }
 
 // datagram hands a peer's message to the loop.
@@ -54,6 +63,7 @@
 // too long is dropped: anyone may send to the port.
 func (p *peerLink) read(post func(event), log *slog.Logger) {
 	buf := make([]byte, datagramMost+1)
+	taken, since := 0, time.Now()
 	for {
 		n, from, err := p.conn.ReadFromUDPAddrPort(buf)
 		if errors.Is(err, net.ErrClosed) {
@@ -67,6 +77,12 @@
 		if !ok || n > datagramMost {
 			continue
 		}
+		if now := time.Now(); now.Sub(since) >= peerSpan {
+			taken, since = 0, now
+		}
+		if taken++; p.most > 0 && taken > p.most {
+			continue
+		}
 		post(datagram{rank, string(buf[:n])})
 	}
 }
--- a/internal/gateway/told_test.go
+++ b/internal/gateway/told_test.go
@@ -116,6 +116,40 @@
 	}
 }
 
+// Words beyond a few times the stated intake are dropped: each may take memory for seconds.
+func TestWordsBeyondTheIntakeAreDropped(t *testing.T) {
+	peer, from := holdUDP(t)
+	p, err := openPeers(mustAddr("127.0.0.1:0"), []netip.AddrPort{from})
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.most = 3
+	got, ended := make(chan event, 16), make(chan bool)
+	go func() {
+		p.read(func(e event) { got <- e }, slog.New(slog.DiscardHandler))
+		close(ended)
+	}()
+	at := p.conn.LocalAddr().(*net.UDPAddr).AddrPort()
+	for i := 0; len(got) < p.most; i++ { // on loopback they may be lost as well
+		if _, err := peer.WriteToUDPAddrPort([]byte{byte(i)}, at); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for range 10 {
+		if _, err := peer.WriteToUDPAddrPort([]byte("more"), at); err != nil {
+			t.Fatal(err)
+		}
+	}
+	p.conn.Close()
+	<-ended
+	for range p.most {
+		<-got
+	}
+	if len(got) > 2*p.most { // the span may have ended once or, on a busy machine, twice
+		t.Errorf("%d more were taken", len(got))
+	}
+}
+
 // What a peer sends must never stop the module.
 func TestGarbageFromPeers(t *testing.T) {
 	l := still(t, unreachable(t))
