Search for crossings: look for late answers once all that can has moved

A client that did not read and then does again was held to wait for the rest of a long answer:, one of 480,000 sequences. The order of looking, not the gateway.

--- a/internal/gateway/crossfire_test.go
+++ b/internal/gateway/crossfire_test.go
@@ -660,6 +660,11 @@
 			moved = x.flows(c) || moved
 		}
 	}
+	for _, c := range x.clients { // once all that can has moved
+		if c.gone.IsZero() && !c.bad && !c.slow && !c.over && !x.ended {
+			x.due(c)
+		}
+	}
 	select {
 	case crash := <-x.done:
 		x.ended = true
@@ -796,8 +801,6 @@
 				x.fault("%s is lost: its connection was ended without an answer", r.id)
 			}
 		}
-	} else if c.gone.IsZero() && !c.bad && !x.ended {
-		x.due(c)
 	}
 	return n > 0 || len(b) > 0
 }
