--- a/internal/gateway/crossfire_test.go
+++ b/internal/gateway/crossfire_test.go
@@ -644,9 +644,7 @@
 		synctest.Wait()
 		moved = false
 		for _, c := range x.clients {
-			if at := c.near.broken(); c.gone.IsZero() && !at.IsZero() {
-				c.gone = at
-			}
+			c.lookForBreak()
 		}
 		for _, s := range x.servers { // ends first: an attempt may end as the next one begins
 			x.mu.Lock()
@@ -801,6 +799,7 @@
 	for x.answered(c) {
 	}
 	if !open {
+		c.lookForBreak() // it may have come since the bytes above went out
 		c.over = true
 		for _, r := range c.wants {
 			if r != nil && !c.bad && c.gone.IsZero() && r.ends <= c.near.read() {
@@ -811,6 +810,13 @@
 	return n > 0 || len(b) > 0
 }
 
+// lookForBreak takes that a client broke its connection in a write of the gateway's.
+func (c *crossClient) lookForBreak() {
+	if at := c.near.broken(); c.gone.IsZero() && !at.IsZero() {
+		c.gone = at
+	}
+}
+
 // due checks that no answer is late. Time that an answer waits for those before it does not count, and commands
 // behind as many as may be owed are not begun.
 func (x *cross) due(c *crossClient) {
