Clients, those in hand and connections to servers leave descriptors in reserve

Found by the search: `connect(6,5) send send wait connect ... connect(7,30): 97 connections with 112 descriptors`. Each share had its bound, but connections to servers that were made while there were few clients stayed as clients took more than theirs: up to 1.5 x sockets - 64 in all, over the limit from 128 sockets on, in a crowd, with nothing left for discovery. Now a client is taken only while all together leave reserveSockets; the longest idle connection to a server gives way first, then one that lingers, then the newcomer. The check of the search and of TestIdleCrowdLeavesRoom is that bound, stricter than before.

--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -118,11 +118,13 @@
 	if live >= clientSockets(l.cfg.Sockets) {
 		l.weanQuietest()
 	}
-	most := l.cfg.Sockets - leastSockets
-	if len(l.clients) >= most {
+	if l.full() { // connections to servers that were made while there were fewer clients may rest in the way
+		l.pool.evict()
+	}
+	if l.full() {
 		l.evictClient()
 	}
-	if len(l.clients) >= most {
+	if l.full() {
 		e.c.advance(l, phaseClosed) // unread: the client sends what it may have written once more, elsewhere
 		return
 	}
@@ -135,6 +137,13 @@
 	}
 }
 
+// full reports that no further client may be taken: clients, those in hand and connections to servers together leave
+// reserveSockets for discovery, peers and the runtime.
+func (l *loop) full() bool {
+	n := len(l.clients)
+	return n >= l.cfg.Sockets-leastSockets || n+l.pool.conns >= l.cfg.Sockets-reserveSockets-acceptAhead
+}
+
 // evictClient makes room for a new connection: one that only lingers goes first, else the quietest is to end.
 func (l *loop) evictClient() {
 	for c := range l.clients {
--- a/internal/gateway/crossfire_test.go
+++ b/internal/gateway/crossfire_test.go
@@ -700,7 +700,7 @@
 		}
 	}
 	switch {
-	case x.fdsMost > l.cfg.Sockets-leastSockets/4:
+	case x.fdsMost > l.cfg.Sockets-reserveSockets:
 		x.fault("%d connections with %d descriptors", x.fdsMost, l.cfg.Sockets)
 	case open > l.cfg.Settings.OpenCap || open != len(l.ids) || held != l.held:
 		x.fault("%d requests are open of %d allowed, %d ids are known, %d bytes held as %d", open, l.cfg.Settings.OpenCap,
--- a/internal/gateway/found_test.go
+++ b/internal/gateway/found_test.go
@@ -30,6 +30,9 @@
 			[]move{{actConnect, 6, 26}, {actSend, 7, 7}, {actWait, 0, 173}, {actDial, 1, 12}, {actHold, 0, 204}, {actAnswer, 5, 4},
 				{actSlow, 6, 30}, {actDial, 2, 1}, {actSend, 6, 19}, {actAnswer, 2, 1}, {actReset, 2, 5}, {actGarbage, 6, 15},
 				{actAnswerAll, 5, 162}, {actAnswerAll, 6, 5}, {actSend, 7, 1}, {actHalf, 5, 3}, {actClose, 0, 0}, {actSend, 1, 97}}},
+		{"a crowd joins while connections to servers stand", setting{30, 112, 1000, 1, 1, 1000},
+			[]move{{actConnect, 6, 5}, {actSend, 1, 139}, {actSend, 2, 255}, {actWait, 0, 37}, {actConnect, 1, 59}, {actConnect, 4, 166},
+				{actConnect, 4, 5}, {actConnect, 2, 229}, {actConnect, 7, 30}}},
 	}
 	for n := range 40 { // with no server up all are refused; else some are begun
 		rest := []move{{actConnect, 0, 0}, {actHold, 0, 0}, {actSend, 0, 200}, {actBreak, 0, n}, {actRelease, 0, 0}}
@@ -77,8 +80,8 @@
 				t.Errorf("%s came to no server", id)
 			}
 		}
-		if x.fdsMost > sockets-reserveSockets+acceptAhead {
-			t.Errorf("%d descriptors of %d were held, with %d reserved", x.fdsMost, sockets, reserveSockets-acceptAhead)
+		if x.fdsMost > sockets-reserveSockets {
+			t.Errorf("%d descriptors of %d were held, with %d reserved", x.fdsMost, sockets, reserveSockets)
 		}
 		if x.finish(); len(x.faults) > 0 {
 			t.Error(x.faults[0])
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -170,7 +170,7 @@
 
 // room is how many connections there may be, of all servers: clients over their share take from it.
 func (p *pool) room() int {
-	return min(p.most, p.l.cfg.Sockets-reserveSockets-len(p.l.clients))
+	return min(p.most, p.l.cfg.Sockets-reserveSockets-acceptAhead-len(p.l.clients))
 }
 
 // evict closes the connection that has stood idle for longest.
