--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -14,33 +15,22 @@
 	"time"
 
 	"winghatch/decide"
+	"winghatch/internal/watch"
 )
 
 const (
-	watchWait  = 4 * time.Second        // a watch waits so long for news ...
-	watchOver  = 500 * time.Millisecond // ... and is given up so long after: discovery that is down says nothing
-	checkFirst = 250 * time.Millisecond // a call that need not wait is given up after this, at first
-	watchRetry = 50 * time.Millisecond
-	hearFirst  = 100 * time.Millisecond // a gateway that starts waits so long for news before it takes clients in
-	listMost   = 8 << 20                // bytes of a list
-
-	// A call that is given up has been in vain for discovery too, which works on it all the same. So the next one
-	// waits longer: a fleet that gives up too soon keeps a line at discovery that nobody gets through. Where lists are
-	// pushed an agent of the gateway's own answers at once, or not at all while discovery is down, and what it gets
-	// at the return counts as told: there the next call must not wait for longer.
-	patienceMost = 2 * time.Second
-
-	// Discovery serves the whole fleet. While it has more calls than it can take it turns them away or lets them
-	// wait in vain, and works on those that nobody waits for any more: who comes again before that line is done
-	// waits in vain again. So the first wait is longer than such a line and spread as wide; how many gateways call
-	// is not known here, so waits double until few enough do.
-	backoffFirst = 4 * time.Second
-	backoffMost  = 16 * time.Second
+	connectWithin = 500 * time.Millisecond // to discovery
+	hearFirst     = 100 * time.Millisecond // a gateway that starts waits so long for news before it takes clients in
+	listMost      = 8 << 20                // bytes of a list: about 70,000 servers
+	headMost      = 64 << 10               // bytes of an answer's head
 )
 
 // errOverbooked says that discovery is up and has turned a call away, as it has too many.
 var errOverbooked = errors.New("discovery has too many calls")
 
+// errTooLong says that a list has more bytes than a gateway takes.
+var errTooLong = errors.New("the list is too long")
+
 // serverList is discovery's form of a list of servers.
 type serverList struct {
 	Version uint64        `json:"version"`
@@ -71,20 +61,23 @@
 	return decide.Gone, fmt.Errorf("server %q: unknown state %q", e.ID, e.State)
 }
 
-// check reports the first entry that can't be used. A list is taken whole or not at all.
-func (l *serverList) check() error {
-	for i := range l.Servers {
-		e := &l.Servers[i]
-		state, err := e.state()
-		if err != nil {
-			return err
-		}
-		if e.ID == "" {
-			return fmt.Errorf("servers[%d] has no id", i)
-		}
-		if _, err := netip.ParseAddrPort(e.Addr); err != nil && state != decide.Gone {
-			return fmt.Errorf("server %q: %w", e.ID, err)
-		}
+// UnmarshalJSON reads an entry and refuses one that can't be used, which ends the reading of its list: a list is taken
+// whole or not at all, and one of millions of empty entries must not be held in memory, where each takes fifty times
+// the bytes that it has on the wire.
+func (e *serverEntry) UnmarshalJSON(raw []byte) error {
+	type plain serverEntry
+	if err := json.Unmarshal(raw, (*plain)(e)); err != nil {
+		return err
+	}
+	if e.ID == "" {
+		return errors.New("a server has no id")
+	}
+	state, err := e.state()
+	if err != nil {
+		return err
+	}
+	if _, err := netip.ParseAddrPort(e.Addr); err != nil && state != decide.Gone {
+		return fmt.Errorf("server %q: %w", e.ID, err)
 	}
 	return nil
 }
@@ -97,12 +90,12 @@
 
 func (n fleetNews) apply(l *loop) { l.fleet(n.kind, n.list) }
 
-// watcher follows discovery.
+// watcher follows discovery. It makes the calls that a pacer of package watch names, and hands on what they tell.
 type watcher struct {
 	client  *http.Client
 	base    string
-	wait    time.Duration // of a watch
-	over    time.Duration // past its wait a call is given up
+	wait    time.Duration // of a watch; this and the next two: 0 for what package watch says
+	over    time.Duration // past its wait a watch is given up
 	check   time.Duration // a call that does not wait is given up, at first
 	agent   bool          // lists are pushed to an agent, which is asked here
 	known   bool          // the list is held already, as of the version
@@ -114,10 +107,10 @@
 }
 
 func newWatcher(addr netip.AddrPort, post func(event), log *slog.Logger) *watcher {
-	transport := &http.Transport{DialContext: (&net.Dialer{Timeout: watchOver}).DialContext,
-		MaxIdleConns: 1, DisableCompression: true}
+	transport := &http.Transport{DialContext: (&net.Dialer{Timeout: connectWithin}).DialContext,
+		MaxIdleConns: 1, DisableCompression: true, MaxResponseHeaderBytes: headMost}
 	return &watcher{client: &http.Client{Transport: transport}, base: "http://" + addr.String() + "/v1/servers",
-		wait: watchWait, over: watchOver, check: checkFirst, pause: sleep, post: post, heard: func() {}, log: log}
+		pause: sleep, post: post, heard: func() {}, log: log}
 }
 
 // follow watches discovery at an address, and from each move on at the new one. A move calls off what waits at
@@ -148,102 +141,104 @@
 	}
 }
 
-// run asks for the whole list and then watches for changes until the context ends. The next call goes out as
-// soon as the last one is answered, so that the watch goes on. A watch can't tell discovery that is down from
-// a fleet that does not change, so after a failure short calls, which are answered at once, find out when
-// discovery is back. Without them a gateway would learn of a drain only seconds after that, and go on sending.
-// Discovery that turns calls away is up: the watch itself is tried again, with exponential backoff and jitter. A
-// short call would only be one more for it, and waits that are alike would bring the whole fleet back at once.
+// run makes one call after the other until the context ends.
 func (w *watcher) run(ctx context.Context) {
 	defer w.client.CloseIdleConnections()
-	version, known, failing := w.version, w.known, false
-	patience, backoff := w.check, backoffFirst
+	begun, failing, long := time.Now(), false, false
+	pacer := watch.New(watch.Config{Agent: w.agent, Held: w.known, Version: w.version, Wait: w.wait, Over: w.over, Check: w.check},
+		rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	for ctx.Err() == nil {
-		url, within := w.base, patience
-		if known {
-			wait := time.Duration(0)
-			if !failing {
-				wait, within = w.wait, w.wait+w.over
-			}
-			url = fmt.Sprintf("%s?after=%d&wait_ms=%d", w.base, version, wait.Milliseconds())
+		call := pacer.Next(time.Since(begun))
+		url := w.base
+		if call.Kind != watch.Whole {
+			url = fmt.Sprintf("%s?after=%d&wait_ms=%d", w.base, call.After, call.Wait.Milliseconds())
 		}
-		called := time.Now()
-		list, err := w.fetch(ctx, url, within)
-		if err == nil && !known && !list.Full {
-			err = errors.New("changes to a list that this gateway does not hold")
-		}
-		if err != nil && !failing && ctx.Err() == nil {
+		list, err := w.fetch(ctx, url, call.Within)
+		step := pacer.Done(time.Since(begun), watch.Result{End: end(err), Version: list.Version, Full: list.Full, Entries: len(list.Servers)})
+		err = cmp.Or(err, step.Err)
+		switch {
+		case ctx.Err() != nil:
+		case errors.Is(err, errTooLong) && !long: // calls alone never mend it
+			w.log.Error("the list of servers can't be taken, the last one stays", "err", err)
+		case err != nil && !failing:
 			w.log.Warn("discovery is failing", "err", err)
 		}
-		switch {
-		case errors.Is(err, errOverbooked):
-			w.pause(ctx, backoff/2+rand.N(backoff/2))
-			failing, backoff = !known, min(2*backoff, backoffMost)
-			continue
-		case err != nil:
-			if failing {
-				patience = w.longer(patience)
+		failing, long = err != nil, errors.Is(err, errTooLong) || long && err != nil
+		if step.Take {
+			kind := decide.FleetDelta
+			if list.Full {
+				kind = decide.FleetFull
 			}
-			failing = true
-			w.pause(ctx, watchRetry)
-			continue
-		}
-		patience, backoff = w.check, backoffFirst
-		failing = false
-		if known && !list.Full && list.Version < version { // it has begun anew: what it calls changes would be lost on the list held
-			known = false
-			continue
-		}
-		kind := decide.FleetDelta
-		if list.Full {
-			kind = decide.FleetFull
-		}
-		if list.Full || len(list.Servers) > 0 {
 			w.post(fleetNews{kind, list})
+		}
+		if step.Heard {
 			w.heard()
-		} else if w.heard(); time.Since(called) < watchRetry {
-			w.pause(ctx, watchRetry) // discovery that does not wait must not be asked without end
 		}
-		version, known = list.Version, true
+		if step.Pause > 0 {
+			w.pause(ctx, step.Pause)
+		}
 	}
 }
 
-// longer is how long the next call that does not wait is given, after one that had so long in vain.
-func (w *watcher) longer(patience time.Duration) time.Duration {
-	if w.agent {
-		return patience
+// end says how a call ended that fetch returned with err.
+func end(err error) watch.End {
+	var slow net.Error
+	switch {
+	case err == nil:
+		return watch.Answered
+	case errors.Is(err, errOverbooked):
+		return watch.Refused
+	case errors.As(err, &slow) && slow.Timeout(): // context.DeadlineExceeded is one as well
+		return watch.TimedOut
 	}
-	return min(2*patience, patienceMost)
+	return watch.Failed
 }
 
+// fetch makes one call, which is given up after within, in its body as well. It fails with errOverbooked where discovery
+// turns it away and with errTooLong where the list has more than listMost bytes. An answer that is cut is an error: where
+// it has a length or is chunked, as that says so; where its end is that of the connection, as a reset is no end and an
+// object without its last brace no JSON. What is cut behind that brace has come whole; more behind it than blanks is an
+// error again.
 func (w *watcher) fetch(ctx context.Context, url string, within time.Duration) (serverList, error) {
 	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
-	var list serverList
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
-		return list, fmt.Errorf("making a call: %w", err)
+		return serverList{}, fmt.Errorf("making a call: %w", err)
 	}
 	resp, err := w.client.Do(req)
 	if err != nil {
-		return list, fmt.Errorf("calling discovery: %w", err)
+		return serverList{}, fmt.Errorf("calling discovery: %w", err)
 	}
 	defer resp.Body.Close()
-	raw, err := io.ReadAll(io.LimitReader(resp.Body, listMost))
-	if err != nil {
-		return list, fmt.Errorf("reading the list: %w", err)
-	}
 	switch resp.StatusCode {
 	case http.StatusOK:
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
-		return list, fmt.Errorf("%w: %s", errOverbooked, resp.Status)
+		io.CopyN(io.Discard, resp.Body, headMost) // so that the connection can be used again; an error only costs that
+		return serverList{}, fmt.Errorf("%w: %s", errOverbooked, resp.Status)
 	default:
-		return list, fmt.Errorf("discovery answered %s", resp.Status)
+		return serverList{}, fmt.Errorf("discovery answered %s", resp.Status)
 	}
+	return readList(resp.Body, resp.ContentLength)
+}
+
+// readList reads a list of length bytes, or up to the end where length is below 0.
+func readList(body io.Reader, length int64) (serverList, error) {
+	if length > listMost {
+		return serverList{}, fmt.Errorf("%w: %d bytes, a gateway takes at most %d", errTooLong, length, listMost)
+	}
+	raw, err := io.ReadAll(io.LimitReader(body, listMost+1))
+	if err != nil {
+		return serverList{}, fmt.Errorf("reading the list: %w", err)
+	}
+	if len(raw) > listMost {
+		return serverList{}, fmt.Errorf("%w: %d bytes and more, a gateway takes at most %d", errTooLong, listMost, listMost)
+	}
+	var list serverList
 	if err := json.Unmarshal(raw, &list); err != nil {
-		return list, fmt.Errorf("reading the list: %w", err)
+		return serverList{}, fmt.Errorf("reading the list: %w", err)
 	}
-	return list, list.check()
+	return list, nil
 }
 
 // sleep waits, or less if the context ends.
