--- a/internal/gateway/crossfire_test.go
+++ b/internal/gateway/crossfire_test.go
@@ -1,7 +1,8 @@
 //go:build !race
 
 // The race detector's runtime breaks down in tests with many bubbles of testing/synctest: it ended with "CHECK failed:
-// tsan_rtl.cpp:346" or a fault in its stack depot in three of some twenty runs, on sequences that it plays the next time.
+// tsan_rtl.cpp:346" or a fault in its stack depot in one of some ten runs and in both with
+// -count=20.
 // So these tests are built without it, and CI runs them in a call of their own.
 
 package gateway
