Seam to the operating system, with failures on demand in a build with faultinjection

Nothing could make a real gateway process meet a failing bind, connect, read or write, or a wall clock that is off, so the terms on these were kept by nobody's test. Package platform wraps the calls; in the usual build each wrapper is the call itself. With the tag faultinjection the environment variable GW_FAULTS holds a script of what fails and when.

--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -7,11 +7,11 @@
 	"encoding/json"
 	"fmt"
 	"net/netip"
-	"os"
 	"strconv"
 	"time"
 
 	"winghatch/decide"
+	"winghatch/internal/platform"
 	"winghatch/internal/settings"
 )
 
@@ -62,7 +62,7 @@
 	if path == "" {
 		return Config{}, fmt.Errorf("GW_CONFIG is not set")
 	}
-	raw, err := os.ReadFile(path)
+	raw, err := platform.ReadFile(path)
 	if err != nil {
 		return Config{}, fmt.Errorf("GW_CONFIG: %w", err)
 	}
--- a/internal/gateway/link.go
+++ b/internal/gateway/link.go
@@ -1,13 +1,15 @@
 package gateway
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"net"
+	"os"
 	"syscall"
 
 	"golang.org/x/sys/unix"
+
+	"winghatch/internal/platform"
 )
 
 // link is a stream connection as the gateway uses it: read by one goroutine, written by the loop without waiting.
@@ -46,7 +48,7 @@
 	opErr := s.raw.Write(func(fd uintptr) bool {
 		for n < len(b) {
 			var m int
-			m, err = syscall.Write(int(fd), b[n:])
+			m, err = writeOnce(fd, b[n:])
 			if m > 0 {
 				n += m
 			}
@@ -81,8 +83,26 @@
 	return opErr != nil || gone
 }
 
-// dialTCP makes a connection to a server.
-func dialTCP(ctx context.Context, addr string) (net.Conn, error) {
-	d := net.Dialer{KeepAlive: -1}
-	return d.DialContext(ctx, "tcp", addr)
+// Read reads what has come, and waits for it if nothing has.
+func (s socket) Read(b []byte) (int, error) {
+	if err := platform.Fault(platform.CallRead); err != nil {
+		return 0, &net.OpError{Op: "read", Net: "tcp", Err: os.NewSyscallError("read", err)}
+	}
+	return s.TCPConn.Read(b[:platform.Limit(platform.CallRead, len(b))])
+}
+
+// Write writes all of b, unless the connection breaks or its write deadline passes.
+func (s socket) Write(b []byte) (int, error) {
+	if err := platform.Fault(platform.CallWrite); err != nil {
+		return 0, &net.OpError{Op: "write", Net: "tcp", Err: os.NewSyscallError("write", err)}
+	}
+	return s.TCPConn.Write(b)
+}
+
+// writeOnce makes one system call.
+func writeOnce(fd uintptr, b []byte) (int, error) {
+	if err := platform.Fault(platform.CallWrite); err != nil {
+		return 0, err
+	}
+	return syscall.Write(int(fd), b[:platform.Limit(platform.CallWrite, len(b))])
 }
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -9,6 +9,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"winghatch/internal/platform"
 )
 
 const (
@@ -46,8 +48,7 @@
 
 // listen opens the listener for clients.
 func listen(ctx context.Context, addr string, log *slog.Logger) (net.Listener, error) {
-	var lc net.ListenConfig
-	return bind(ctx, bindRetry, bindWithin, func() (net.Listener, error) { return lc.Listen(ctx, "tcp", addr) }, log)
+	return bind(ctx, bindRetry, bindWithin, func() (net.Listener, error) { return platform.Listen(ctx, addr) }, log)
 }
 
 // peersOpen hands the loop the socket to the other gateways.
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -14,6 +14,7 @@
 	"github.com/tidwall/redcon"
 
 	"winghatch/decide"
+	"winghatch/internal/platform"
 )
 
 // event is something that the loop is told by another goroutine.
@@ -79,8 +80,7 @@
 }
 
 func newClock() clock {
-	now := time.Now()
-	return clock{now, time.Duration(now.UnixNano())}
+	return clock{time.Now(), time.Duration(platform.Now().UnixNano())}
 }
 
 func (c clock) now() time.Duration { return c.epoch + time.Since(c.start) }
@@ -168,7 +168,7 @@
 func newLoop(cfg Config, log *slog.Logger) (*loop, error) {
 	l := &loop{cfg: cfg, log: log, clock: newClock(), in: newInbox(), requests: map[string]*request{},
 		ids: map[string]struct{}{}, clients: map[*client]struct{}{}, limits: usualLimits,
-		ahead: make(chan struct{}, acceptAhead), dial: dialTCP}
+		ahead: make(chan struct{}, acceptAhead), dial: platform.DialTCP}
 	l.ctx, l.cancel = context.WithCancel(context.Background())
 	l.pool = newPool(l, cfg)
 	if err := l.startCore(); err != nil {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -8,6 +8,8 @@
 	"net/netip"
 	"time"
 
+	"winghatch/internal/platform"
+
 	"winghatch/decide"
 )
 
@@ -37,7 +39,7 @@
 func (d datagram) apply(l *loop) { l.feed(decide.PeerMessage{From: d.from, Text: d.text}) }
 
 func openPeers(listen netip.AddrPort, addrs []netip.AddrPort) (*peerLink, error) {
-	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(listen))
+	conn, err := platform.ListenUDP(listen)
 	if err != nil {
 		return nil, fmt.Errorf("listening for peers: %w", err)
 	}
