Randomized fault soak: real gateway processes, card servers, discovery and a fault proxy

cmd/faultsoak starts four gateways (built with -tags faultinjection), eight card servers, discovery and a proxy as processes on loopback addresses of the run's own, and lets two or three drawn troubles overlap: planned restarts, kills, pauses, SIGHUP with a file that is half written, clock steps, failing system calls, logs that nobody reads, card servers that hang, restart, drain, send noise or reset, silent and reset routes, discovery that is silent or refuses, bad, slow and leaving clients.

--- /dev/null
+++ b/internal/faultsoak/cardserver.go
@@ -0,0 +1,254 @@
+package faultsoak
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/tidwall/redcon"
+)
+
+// ServerMode says how a card server treats the requests that it gets.
+type ServerMode string
+
+// The modes of a card server.
+const (
+	ModeServe   ServerMode = "serve"
+	ModeHang    ServerMode = "hang"    // nothing is answered until the mode changes
+	ModeBusy    ServerMode = "busy"    // turned away
+	ModeFail    ServerMode = "fail"    // an error line
+	ModeNoise   ServerMode = "noise"   // what is no answer
+	ModeTwice   ServerMode = "twice"   // a second copy behind each answer
+	ModeTrickle ServerMode = "trickle" // answers that begin and do not end
+	ModeReset   ServerMode = "reset"   // the connection is reset under the request
+)
+
+// ServerConfig describes a card server.
+type ServerConfig struct {
+	ID        string
+	Listen    string
+	Life      int // of the server: a restarted one has the next number
+	ServiceMS int // of a request
+	Workers   int
+}
+
+// ServerCommand changes how a running card server acts. Fields left empty change nothing.
+type ServerCommand struct {
+	Mode      ServerMode `json:"mode,omitempty"`
+	CloseIdle bool       `json:"close_idle,omitempty"`
+}
+
+// cardServer is a stand-in for a card server, written from the protocol page.
+type cardServer struct {
+	cfg      ServerConfig
+	reporter *reporter
+	slots    chan struct{}
+	attempts atomic.Uint64
+	mu       sync.Mutex
+	mode     ServerMode
+	changed  chan struct{} // closed when the mode changes
+	idle     map[net.Conn]bool
+}
+
+// RunServer serves until the input ends.
+func RunServer(cfg ServerConfig, commands io.Reader, events io.Writer) error {
+	ln, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
+		return fmt.Errorf("card server %s: %w", cfg.ID, err)
+	}
+	s := &cardServer{cfg: cfg, reporter: newReporter(events), slots: make(chan struct{}, cfg.Workers),
+		mode: ModeServe, changed: make(chan struct{}), idle: map[net.Conn]bool{}}
+	go s.accept(ln)
+	s.reporter.report(Event{Type: EventReady, Server: cfg.ID, Life: cfg.Life})
+	readLines(commands, s.command)
+	return nil
+}
+
+func (s *cardServer) command(c ServerCommand) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c.Mode != "" {
+		s.mode = c.Mode
+		close(s.changed)
+		s.changed = make(chan struct{})
+	}
+	if c.CloseIdle {
+		for conn, idle := range s.idle {
+			if idle {
+				conn.Close()
+			}
+		}
+	}
+}
+
+func (s *cardServer) now() (ServerMode, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.mode, s.changed
+}
+
+func (s *cardServer) accept(ln net.Listener) {
+	for {
+		conn, err := ln.Accept()
+		if err != nil {
+			fmt.Fprintln(os.Stderr, "accepting:", err)
+			time.Sleep(5 * time.Millisecond)
+			continue
+		}
+		go s.serve(conn)
+	}
+}
+
+// timedReader notes when the first byte of a command came.
+type timedReader struct {
+	io.Reader
+	first Moment
+}
+
+func (r *timedReader) Read(b []byte) (int, error) {
+	n, err := r.Reader.Read(b)
+	if n > 0 && r.first == 0 {
+		r.first = Now()
+	}
+	return n, err
+}
+
+func (s *cardServer) setIdle(conn net.Conn, idle bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.idle[conn] = idle
+}
+
+func (s *cardServer) serve(conn net.Conn) {
+	defer func() {
+		s.mu.Lock()
+		delete(s.idle, conn)
+		s.mu.Unlock()
+		conn.Close()
+	}()
+	timed := &timedReader{Reader: conn}
+	reader := redcon.NewReader(timed)
+	for {
+		s.setIdle(conn, true)
+		cmd, err := reader.ReadCommand()
+		if err != nil {
+			return
+		}
+		s.setIdle(conn, false)
+		first := timed.first
+		timed.first = 0
+		if len(cmd.Args) < 4 {
+			if _, err := conn.Write([]byte("-SYNTAX\r\n")); err != nil {
+				return
+			}
+			continue
+		}
+		if !s.handle(conn, cmd, first) {
+			return
+		}
+	}
+}
+
+// handle runs one request, and reports whether the connection goes on.
+func (s *cardServer) handle(conn net.Conn, cmd redcon.Command, first Moment) bool {
+	attempt, request := s.attempts.Add(1), string(cmd.Args[2])
+	list := parseList(string(cmd.Args[3]))
+	left, _ := strconv.ParseFloat(list["d"], 64)
+	s.reporter.report(Event{Type: EventArrival, Server: s.cfg.ID, Life: s.cfg.Life, Attempt: attempt, Request: request, First: first, LeftMS: left})
+	verdict := Event{Type: EventVerdict, Server: s.cfg.ID, Life: s.cfg.Life, Attempt: attempt, Request: request}
+	mode, changed := s.now()
+	for mode == ModeHang {
+		<-changed
+		mode, changed = s.now()
+	}
+	size, _ := strconv.Atoi(list["size"])
+	answer := s.answer(request, attempt, size)
+	keep := true
+	switch mode {
+	case ModeBusy:
+		answer, verdict.NeverRan = []byte("-BUSY\r\n"), true
+	case ModeFail:
+		answer = []byte("-ERR failed\r\n")
+	case ModeNoise:
+		answer = []byte("%noise\r\n")
+	case ModeTwice:
+		answer = append(answer, answer...)
+	case ModeTrickle:
+		answer = answer[:len(answer)/2]
+	case ModeReset:
+		conn.(*net.TCPConn).SetLinger(0)
+		answer, keep = nil, false
+	default:
+	}
+	if mode != ModeBusy {
+		s.work()
+	}
+	if verdict.NeverRan { // reported before it is written, as what follows on it may come at once
+		s.reporter.report(verdict)
+	}
+	_, err := conn.Write(answer)
+	if !verdict.NeverRan {
+		s.reporter.report(verdict)
+	}
+	return keep && err == nil
+}
+
+func (s *cardServer) work() {
+	s.slots <- struct{}{}
+	defer func() { <-s.slots }()
+	service := float64(s.cfg.ServiceMS) * (0.5 + rand.Float64())
+	time.Sleep(time.Duration(service * float64(time.Millisecond)))
+}
+
+// answer is what a card server makes for a request: clients know it by the request's id.
+func (s *cardServer) answer(request string, attempt uint64, size int) []byte {
+	value := fmt.Sprintf("v:%s:%s:%d:", request, s.cfg.ID, attempt)
+	if size > len(value) {
+		value += strings.Repeat("x", size-len(value))
+	}
+	b := redcon.AppendArray(nil, 3)
+	b = redcon.AppendBulkString(b, value)
+	return append(b, "$-1\r\n$-1\r\n"...)
+}
+
+func parseList(text string) map[string]string {
+	list := map[string]string{}
+	for _, pair := range strings.Split(text, ",") {
+		name, value, _ := strings.Cut(pair, "=")
+		list[name] = value
+	}
+	return list
+}
+
+var errAnswer = fmt.Errorf("not an answer of the protocol")
+
+// parseReply reads one answer of a gateway's from b; used is 0 while more of it must come.
+func parseReply(b []byte) (text string, value []byte, used int, err error) {
+	end := bytes.Index(b, []byte("\r\n"))
+	if end < 0 {
+		return "", nil, 0, nil
+	}
+	text = string(b[:end])
+	if text == "" {
+		return "", nil, 0, errAnswer
+	}
+	if text[0] != '$' {
+		return text, nil, end + 2, nil
+	}
+	n, err := strconv.Atoi(text[1:])
+	if err != nil || n < 0 {
+		return "", nil, 0, errAnswer
+	}
+	if len(b) < end+2+n+2 {
+		return "", nil, 0, nil
+	}
+	return text, b[end+2 : end+2+n], end + 2 + n + 2, nil
+}
--- /dev/null
+++ b/internal/faultsoak/fleet.go
@@ -0,0 +1,478 @@
+package faultsoak
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"winghatch/internal/platform"
+)
+
+// Ports on the loopback addresses of a run.
+const (
+	gatewayPort   = 6379
+	peerPort      = 7946
+	discoveryPort = 8500
+	serverPort    = 6400
+	proxyPort     = 6379
+)
+
+const (
+	readyMost       = 30 * time.Second // "no gateway takes over 30 s to be ready"
+	discoveryAddrs  = 4                // of each gateway: where it can be moved to
+	smallPipe       = 4 << 10          // bytes: the least that the kernel allows
+	shutdownLongest = 3 * time.Second  // "SIGKILL comes no sooner than the longest deadline (counted as 3 s where longer) ..."
+	shutdownMore    = 700 * time.Millisecond
+)
+
+// LogMode says what happens to what a gateway writes to its standard error.
+type LogMode string
+
+// The modes of logs.
+const (
+	LogFile    LogMode = "file"
+	LogBlocked LogMode = "blocked" // nobody reads the pipe
+	LogClosed  LogMode = "closed"  // nobody has the other end of the pipe
+)
+
+// gateway is one gateway of the fleet, over all its processes.
+type gateway struct {
+	number    int
+	mu        sync.Mutex
+	proc      *process
+	life      int
+	address   int // of discovery, by its number
+	readySeen bool
+	logs      []string
+	held      []*os.File // pipes' ends that nobody reads
+}
+
+// server is one card server, over all its processes.
+type server struct {
+	entry     Entry
+	number    int
+	mu        sync.Mutex
+	proc      *process
+	life      int
+	wallAhead time.Duration // of its machine's clock
+	busy      bool          // a trouble has it in hand
+}
+
+// fleet is everything that runs.
+type fleet struct {
+	options   Options
+	dir       string
+	settings  Profile
+	oracle    *oracle
+	clients   *clients
+	gateways  []*gateway
+	servers   []*server
+	discovery *process
+	proxy     *process
+	rng       *lockedRand
+	network   int // second byte of the run's loopback addresses
+	log       func(format string, args ...any)
+}
+
+func (f *fleet) addr(role, number, port int) string {
+	return fmt.Sprintf("127.%d.%d.%d:%d", f.network, role, number+1, port)
+}
+
+// Third bytes of the addresses.
+const (
+	roleGateway = iota + 1
+	roleServer
+	roleProxy
+	roleDiscovery
+)
+
+func (f *fleet) discoveryAddr(gateway, address int) string {
+	return f.addr(roleDiscovery+address, gateway, discoveryPort)
+}
+
+// standIn starts a role of this program.
+func (f *fleet) standIn(name, role string, config any, handle func(Event)) (*process, error) {
+	raw, err := json.Marshal(config)
+	if err != nil {
+		return nil, err
+	}
+	cmd := exec.Command(f.options.Self, role, string(raw))
+	log, err := os.OpenFile(filepath.Join(f.dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	defer log.Close()
+	cmd.Stderr = log
+	ready := make(chan struct{}, 1)
+	p, err := startProcess(name, cmd, func(e Event) {
+		if e.Type == EventReady {
+			ready <- struct{}{}
+			return
+		}
+		if handle != nil {
+			handle(e)
+		}
+	})
+	if err != nil {
+		return nil, err
+	}
+	select {
+	case <-ready:
+		return p, nil
+	case <-p.ended:
+		return nil, fmt.Errorf("%s ended at its start, see its log", name)
+	case <-time.After(readyMost):
+		return nil, fmt.Errorf("%s was not ready", name)
+	}
+}
+
+func (f *fleet) startServer(s *server) error {
+	cfg := ServerConfig{ID: s.entry.ID, Listen: f.addr(roleServer, s.number, serverPort), Life: s.life, ServiceMS: f.options.ServiceMS,
+		Workers: f.options.Workers}
+	p, err := f.standIn(fmt.Sprintf("server%d", s.number), RoleServer, cfg, f.oracle.event)
+	if err != nil {
+		return err
+	}
+	s.proc = p
+	return nil
+}
+
+// DiscoveryConfig is what the discovery role is told.
+type DiscoveryConfig struct {
+	Addrs   [][]string
+	Entries []Entry
+}
+
+func (f *fleet) start() error {
+	var routes []Route
+	var entries []Entry
+	for i := range f.options.Servers {
+		s := &server{number: i, entry: Entry{ID: fmt.Sprintf("s-%02d", i), Addr: f.addr(roleProxy, i, proxyPort), Zone: "a", Kind: "std",
+			Cell: i % 3, State: "up", Weight: 1}}
+		f.settings.Cells[s.entry.ID] = s.entry.Cell
+		f.servers = append(f.servers, s)
+		entries = append(entries, s.entry)
+		routes = append(routes, Route{s.entry.ID, f.addr(roleProxy, i, proxyPort), f.addr(roleServer, i, serverPort)})
+		if err := f.startServer(s); err != nil {
+			return err
+		}
+	}
+	var err error
+	if f.proxy, err = f.standIn("proxy", RoleProxy, routes, nil); err != nil {
+		return err
+	}
+	config := DiscoveryConfig{Entries: entries}
+	for g := range f.options.Gateways {
+		var own []string
+		for a := range discoveryAddrs {
+			own = append(own, f.discoveryAddr(g, a))
+		}
+		config.Addrs = append(config.Addrs, own)
+	}
+	if f.discovery, err = f.standIn("discovery", RoleDiscovery, config, f.oracle.event); err != nil {
+		return err
+	}
+	for i := range f.options.Gateways {
+		g := &gateway{number: i}
+		f.gateways = append(f.gateways, g)
+		if err := f.startGateway(g, platform.Script{}, LogFile); err != nil {
+			return err
+		}
+	}
+	for _, g := range f.gateways {
+		f.awaitReady(g)
+	}
+	return nil
+}
+
+// gatewayConfig has the keys of a gateway's configuration file.
+type gatewayConfig struct {
+	Name       string          `json:"name"`
+	Listen     string          `json:"listen"`
+	Discovery  string          `json:"discovery"`
+	Seed       string          `json:"seed"`
+	Limits     gatewayLimits   `json:"limits"`
+	PeerListen string          `json:"peer_listen"`
+	Peers      []string        `json:"peers"`
+	Known      List            `json:"known"`
+	Settings   json.RawMessage `json:"settings"`
+}
+
+type gatewayLimits struct {
+	Cores    float64 `json:"cores"`
+	MemoryMB int     `json:"memory_mb"`
+	Sockets  int     `json:"sockets"`
+}
+
+func (f *fleet) configPath(g *gateway) string {
+	return filepath.Join(f.dir, fmt.Sprintf("gateway%d.json", g.number))
+}
+
+func (f *fleet) config(g *gateway) []byte {
+	c := gatewayConfig{Name: fmt.Sprintf("n%d", g.number), Listen: f.addr(roleGateway, g.number, gatewayPort),
+		Discovery: f.discoveryAddr(g.number, g.address), Seed: fmt.Sprintf("%x", f.rng.intN(1<<30)),
+		Limits:     gatewayLimits{Cores: 1, MemoryMB: 192, Sockets: 1024},
+		PeerListen: f.addr(roleGateway, g.number, peerPort), Settings: f.settings.settings(g.number)}
+	for i := range f.options.Gateways {
+		c.Peers = append(c.Peers, f.addr(roleGateway, i, peerPort))
+	}
+	c.Known = List{Version: 1, Full: true}
+	for _, s := range f.servers {
+		s.mu.Lock()
+		if s.life == 0 { // as it last had it, which may be long ago
+			c.Known.Servers = append(c.Known.Servers, s.entry)
+		}
+		s.mu.Unlock()
+	}
+	raw, err := json.MarshalIndent(c, "", " ")
+	if err != nil {
+		panic(err) // plain structs
+	}
+	return raw
+}
+
+// startGateway starts the next process of a gateway.
+func (f *fleet) startGateway(g *gateway, script platform.Script, logs LogMode) error {
+	if err := os.WriteFile(f.configPath(g), f.config(g), 0o600); err != nil {
+		return err
+	}
+	faults, err := json.Marshal(script)
+	if err != nil {
+		return err
+	}
+	cmd := exec.Command(f.options.GatewayProgram)
+	cmd.Env = append(os.Environ(), "GW_CONFIG="+f.configPath(g), "GW_FAULTS="+string(faults))
+	stderr, err := f.stderr(g, logs)
+	if err != nil {
+		return err
+	}
+	defer stderr.Close()
+	cmd.Stderr = stderr
+	p, err := startProcess(fmt.Sprintf("gateway%d", g.number), cmd, nil)
+	if err != nil {
+		return err
+	}
+	g.mu.Lock()
+	g.proc, g.readySeen = p, false
+	g.life++
+	g.mu.Unlock()
+	go f.watchGateway(g, p)
+	return nil
+}
+
+// stderr opens what a gateway writes its log to.
+func (f *fleet) stderr(g *gateway, mode LogMode) (*os.File, error) {
+	if mode == LogFile {
+		path := filepath.Join(f.dir, fmt.Sprintf("gateway%d.%d.log", g.number, g.life))
+		g.logs = append(g.logs, path)
+		return os.Create(path)
+	}
+	r, w, err := os.Pipe()
+	if err != nil {
+		return nil, err
+	}
+	if _, err := unix.FcntlInt(w.Fd(), unix.F_SETPIPE_SZ, smallPipe); err != nil {
+		return nil, fmt.Errorf("setting the size of a pipe: %w", err)
+	}
+	if mode == LogClosed {
+		r.Close()
+	} else {
+		g.held = append(g.held, r)
+	}
+	return w, nil
+}
+
+// watchGateway notes an end that nobody asked for, and starts the gateway again.
+func (f *fleet) watchGateway(g *gateway, p *process) {
+	began := Now()
+	<-p.ended
+	if p.isExpected() || f.oracle.isClosed() {
+		return
+	}
+	f.oracle.violate(RuleCrash, "gateway %d ended by itself %v after its start: %v", g.number, Now().Sub(began), p.err)
+	at := Now()
+	f.replace(g, at, at)
+}
+
+// replace starts a gateway again after its process has ended, and waits until it is ready.
+func (f *fleet) replace(g *gateway, begun, spares Moment) {
+	script, logs := f.startFaults(), f.logMode()
+	f.log("gateway %d starts with faults %+v, log %s", g.number, script, logs)
+	if err := f.startGateway(g, script, logs); err != nil {
+		f.log("gateway %d: %v", g.number, err)
+		return
+	}
+	f.awaitReady(g)
+	f.oracle.change(func() {
+		f.oracle.kills[g.number] = append(f.oracle.kills[g.number], kill{begun: begun, ended: Now(), spares: spares})
+	})
+}
+
+// awaitReady waits until a gateway answers PING, and lets the front send there.
+func (f *fleet) awaitReady(g *gateway) {
+	g.mu.Lock()
+	p := g.proc
+	g.mu.Unlock()
+	for begun := time.Now(); time.Since(begun) < readyMost; time.Sleep(5 * time.Millisecond) {
+		if !p.running() {
+			return // noted as a crash, unless its end was asked for
+		}
+		if ping(f.clients.addrs[g.number]) {
+			f.clients.setUsable(g.number, true)
+			return
+		}
+	}
+	f.oracle.violate(RuleReady, "gateway %d was not ready in %v", g.number, readyMost)
+}
+
+func ping(addr string) bool {
+	conn, err := net.DialTimeout("tcp", addr, 200*time.Millisecond)
+	if err != nil {
+		return false
+	}
+	defer conn.Close()
+	if conn.SetDeadline(time.Now().Add(500*time.Millisecond)) != nil {
+		return false
+	}
+	if _, err := conn.Write(appendCommand(nil, "PING")); err != nil {
+		return false
+	}
+	line, err := bufio.NewReader(conn).ReadString('\n')
+	return err == nil && line == "+PONG\r\n"
+}
+
+func (c *clients) setUsable(gateway int, usable bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.usable[gateway] = usable
+}
+
+// killGateway kills a gateway outright and starts it again.
+func (f *fleet) killGateway(g *gateway) {
+	p := f.claim(g)
+	if p == nil {
+		return
+	}
+	at := Now()
+	p.signal(syscall.SIGKILL)
+	p.wait(readyMost)
+	f.replace(g, at, Now())
+}
+
+// claim takes a gateway's process to end it. It is nil if somebody else ends it already.
+func (f *fleet) claim(g *gateway) *process {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.proc.isExpected() || !g.proc.running() {
+		return nil
+	}
+	g.proc.mu.Lock()
+	defer g.proc.mu.Unlock()
+	g.proc.expected = true
+	return g.proc
+}
+
+// restartGateway is a planned restart: SIGTERM, connections for a while yet, and SIGKILL once the grace is over.
+func (f *fleet) restartGateway(g *gateway) {
+	p := f.claim(g)
+	if p == nil {
+		return
+	}
+	p.signal(syscall.SIGTERM)
+	at := Now()
+	time.Sleep(f.rng.between(200*time.Millisecond, 400*time.Millisecond))
+	f.clients.setUsable(g.number, false)
+	grace := min(f.settings.Deadline, shutdownLongest) + shutdownMore
+	killed := at
+	if !p.wait(grace - Now().Sub(at)) {
+		f.log("gateway %d still ran %v after SIGTERM and was killed", g.number, grace)
+		killed = at.Add(shutdownMore)
+		p.signal(syscall.SIGKILL)
+		p.wait(readyMost)
+	} else {
+		killed = 0 // it ended by itself: nothing is free
+	}
+	f.replace(g, at, killed)
+}
+
+// restartServer ends a card server and starts it again, cold. Its entry tells the new start.
+func (f *fleet) restartServer(s *server, down time.Duration, step time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.proc.signal(syscall.SIGKILL)
+	s.proc.wait(readyMost)
+	time.Sleep(down)
+	s.life++
+	s.wallAhead = step
+	s.entry.State = "up"
+	s.entry.StartedMS = time.Now().Add(step).UnixMilli()
+	f.oracle.life(s.entry.ID, s.life, Now(), s.entry.StartedMS)
+	if err := f.startServer(s); err != nil {
+		f.log("%v", err)
+		return
+	}
+	f.discovery.send(DiscoveryCommand{Change: []Entry{s.entry}})
+}
+
+func (f *fleet) tell(s *server, state string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.entry.State = state
+	f.discovery.send(DiscoveryCommand{Change: []Entry{s.entry}})
+}
+
+// stop ends everything.
+func (f *fleet) stop() {
+	f.oracle.close()
+	for _, g := range f.gateways {
+		if g.proc != nil {
+			g.proc.signal(syscall.SIGKILL)
+		}
+		for _, end := range g.held {
+			end.Close()
+		}
+	}
+	for _, s := range f.servers {
+		if s.proc != nil {
+			s.proc.signal(syscall.SIGKILL)
+		}
+	}
+	for _, p := range []*process{f.discovery, f.proxy} {
+		if p != nil {
+			p.signal(syscall.SIGKILL)
+		}
+	}
+}
+
+// Marks of trouble in a gateway's log.
+var logMarks = []string{"invariant violated", "panic", "left open past its deadline"}
+
+// readLogs looks for what the gateways found themselves.
+func (f *fleet) readLogs() {
+	for _, g := range f.gateways {
+		for _, path := range g.logs {
+			raw, err := os.ReadFile(path)
+			if err != nil {
+				f.log("%v", err)
+				continue
+			}
+			for _, line := range strings.Split(string(raw), "\n") {
+				for _, mark := range logMarks {
+					if strings.Contains(line, mark) {
+						f.oracle.violate(RuleInvariant, "gateway %d: %.300s", g.number, line)
+					}
+				}
+			}
+		}
+	}
+}
