--- a/internal/gateway/listen_test.go
+++ b/internal/gateway/listen_test.go
@@ -217,3 +217,20 @@
 		}
 	}
 }
+
+// What the machine lacks for a moment delays a start and does not end it, whichever documented error says so.
+func TestPassingWantDoesNotEndTheStart(t *testing.T) {
+	for _, errno := range []syscall.Errno{syscall.EADDRINUSE, syscall.EADDRNOTAVAIL, syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS,
+		syscall.ENOMEM, syscall.EAGAIN, syscall.EINTR} {
+		tries := 0
+		_, err := bind(context.Background(), time.Millisecond, patience, func() (int, error) {
+			if tries++; tries < 3 {
+				return 0, &net.OpError{Op: "listen", Err: errno}
+			}
+			return 0, nil
+		}, slog.New(slog.DiscardHandler))
+		if err != nil || tries != 3 {
+			t.Errorf("%v: %v after %d tries", errno, err, tries)
+		}
+	}
+}
