A pipelined request keeps the deadline it came with; a client's end is looked for by time

Cause: reader.split stamped a command when it was parsed (interpret(..., r.clock.now())).

Now arrivals keeps when the bytes of the read buffer came. Bytes that waited in the kernel, unread while the buffer was full, count from the last moment at which the socket was seen to be empty (one peek before each read).

Related path, by reading: waitForRoom looked for the client's end only when its timer rang, and the timer began anew with each wake-up; with answers in quick succession the end of a client that had stopped sending was found only behind all that it had sent.

Ruled out: the inbox (the stamp is taken before the post), frame() (counts from the attempt's end).

--- a/internal/faultsoak/client.go
+++ b/internal/faultsoak/client.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net"
 	"strings"
@@ -20,7 +19,7 @@
 	clientDialTimeout = 500 * time.Millisecond
 	// A request that is under way for less than this when its connection ends, with nothing owed before it, may have
 	// crossed that end unread: "if that crosses a request it has not read, the client sends that request once more".
-	crossingMost = 200 * time.Millisecond
+	crossingMost = 100 * time.Millisecond
 	badClientDue = 3 * time.Second
 	// A slow reader takes up to its receive buffer, some KB, in each interval: hundreds of KB a second.
 	slowReadPause = 20 * time.Millisecond
@@ -202,7 +201,7 @@
 			in = in[used:]
 		}
 		if err != nil {
-			cc.end(err)
+			cc.end()
 			return
 		}
 		if cc.slow {
@@ -243,7 +242,7 @@
 }
 
 // end notes what becomes of the requests on a connection that ended.
-func (cc *clientConn) end(err error) {
+func (cc *clientConn) end() {
 	cc.mu.Lock()
 	defer cc.mu.Unlock()
 	if cc.gone {
@@ -252,12 +251,15 @@
 	cc.over = true
 	now := Now()
 	cc.clients.oracle.change(func() {
-		for i, r := range cc.waits {
+		crossed, first := false, true
+		for _, r := range cc.waits {
 			if r == nil {
 				continue
 			}
-			r.ConnEnded = now
-			r.Crossed = i == 0 && r.Sent != 0 && now.Sub(r.Sent) < crossingMost && !errors.Is(err, io.ErrUnexpectedEOF)
+			if first { // if this one has been there for longer, what is behind it has come to a gateway that reads
+				crossed, first = r.Sent != 0 && now.Sub(r.Sent) < crossingMost, false
+			}
+			r.ConnEnded, r.Crossed = now, crossed
 		}
 	})
 }
--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -32,16 +32,17 @@
 // client is a connection of a client.
 type client struct {
 	lifeline
-	slots   []*slot // in the order of the commands
-	backlog []byte  // answers behind those that are being written
-	used    time.Duration
-	owed    atomic.Int32 // answers that the reader counts on the loop to give
-	weaned  atomic.Bool  // to end between requests: no further command is waited for once all is answered
+	slots    []*slot // in the order of the commands
+	backlog  []byte  // answers behind those that are being written
+	used     time.Duration
+	owed     atomic.Int32 // answers that the reader counts on the loop to give
+	accepted time.Time    // when it was taken from the listener
+	weaned   atomic.Bool  // to end between requests: no further command is waited for once all is answered
 }
 
 func newClient(conn net.Conn) (*client, error) {
 	life, err := newLifeline(conn)
-	return &client{lifeline: life}, err
+	return &client{lifeline: life, accepted: time.Now()}, err
 }
 
 // place makes the place of the next answer. It is nil where none can follow: a command that the reader handed on
--- a/internal/gateway/command.go
+++ b/internal/gateway/command.go
@@ -25,9 +25,9 @@
 
 // command is a request as a client sent it.
 type command struct {
-	args         [][]byte // unchanged; the list at listArg is sent on with another d
-	before, tail []byte   // of the list, round the figure of d
-	came         time.Duration
+	args         [][]byte       // unchanged; the list at listArg is sent on with another d
+	before, tail []byte         // of the list, round the figure of d
+	came         time.Duration  // its last byte, or a moment before that
 	wait         time.Duration  // d
 	limit        time.Duration  // of its class: no client waits longer
 	req          decide.Request // without id and deadline
@@ -72,8 +72,8 @@
 	return b
 }
 
-// parseRequest reads a request that came at the time now. It copies what it keeps.
-func parseRequest(cfg *Config, name string, args [][]byte, now time.Duration) (*command, error) {
+// parseRequest reads a request whose last byte came at the time came. It copies what it keeps.
+func parseRequest(cfg *Config, name string, args [][]byte, came time.Duration) (*command, error) {
 	if len(args) <= listArg || len(args) > listArg+2 {
 		return nil, errors.New("wrong number of arguments")
 	}
@@ -87,7 +87,7 @@
 	if len(id) == 0 || len(id) > idMost || len(list) > listLen {
 		return nil, errors.New("the id or the list is missing or too long")
 	}
-	c := &command{args: cloneArgs(args), came: now}
+	c := &command{args: cloneArgs(args), came: came}
 	c.req = decide.Request{Customer: string(customer), Units: 1, Write: name == "Q.DO"}
 	if err := c.parseList(); err != nil {
 		return nil, err
--- a/internal/gateway/crossfire_test.go
+++ b/internal/gateway/crossfire_test.go
@@ -41,7 +41,9 @@
 	goneFor   = 100 * time.Millisecond // past a client's close no attempt for it begins
 	drainFor  = 300 * time.Millisecond // past the word that a server drains nothing is sent to it: grace and slack
 	slackTime = 60 * time.Millisecond  // past its time an answer may come
-	endWithin = 4 * time.Second        // of SIGTERM the loop has ended: the longest deadline and 0.7 s, and a linger
+	// "At most what is left to the client, with 0.15 s of slack."
+	deadlineSlack = 150 * time.Millisecond
+	endWithin     = 4 * time.Second // of SIGTERM the loop has ended: the longest deadline and 0.7 s, and a linger
 )
 
 // act is one kind of step.
@@ -120,8 +122,7 @@
 	c         *crossClient
 	ends      int           // bytes of its connection up to its last
 	for_      time.Duration // how long its client waits
-	at        time.Time     // when its last byte was written ...
-	begun     time.Time     // ... and when it was no longer behind more than may be owed
+	at        time.Time     // when its last byte was written
 	answered  time.Time
 	runs      []*arrival
 }
@@ -738,6 +739,7 @@
 			return
 		}
 		x.arrived(s, c, string(args[idArg]), c.far.writtenAt(c.split))
+		x.deadline(string(args[idArg]), string(args[listArg]), c.far.writtenAt(c.split+used-1))
 		c.in, c.split = c.in[used:], c.split+used
 	}
 }
@@ -777,6 +779,29 @@
 	a.runs, c.waits = append(a.runs, w), append(c.waits, w)
 }
 
+// deadline checks the time that a server was told with the last byte of an attempt: "at most what is left to the client,
+// with 0.15 s of slack".
+func (x *cross) deadline(id, list string, last time.Time) {
+	a := x.asks[id]
+	if a == nil || a.at.IsZero() {
+		return
+	}
+	for _, pair := range strings.Split(list, ",") {
+		name, value, _ := strings.Cut(pair, "=")
+		if name != "d" {
+			continue
+		}
+		ms, err := strconv.Atoi(value)
+		if err != nil {
+			x.fault("%s came with d=%s", id, value)
+		}
+		told, left := time.Duration(ms)*time.Millisecond, a.at.Add(a.for_).Sub(last)
+		if told > left+deadlineSlack {
+			x.fault("%s (%s) told its server %v with %v left", id, a.class, told, left)
+		}
+	}
+}
+
 // flows moves a client's bytes and checks its answers.
 func (x *cross) flows(c *crossClient) bool {
 	if c.over || (!c.gone.IsZero() && c.far.shut()) {
@@ -818,21 +843,17 @@
 	}
 }
 
-// due checks that no answer is late. Time that an answer waits for those before it does not count, and commands
-// behind as many as may be owed are not begun.
+// due checks that no answer is late: "the time spent waiting for those before one does not count".
 func (x *cross) due(c *crossClient) {
 	var by time.Time
-	for i, r := range c.wants {
+	for _, r := range c.wants {
 		if r == nil {
 			continue
 		}
-		if r.at.IsZero() || i >= owedMost {
+		if r.at.IsZero() {
 			return
 		}
-		if r.begun.IsZero() {
-			r.begun = time.Now()
-		}
-		if t := r.begun.Add(r.for_); t.After(by) {
+		if t := r.at.Add(r.for_); t.After(by) {
 			by = t
 		}
 		if x.hold == nil && time.Now().After(by.Add(slackTime)) && time.Since(c.lastAnswer) > r.for_+slackTime {
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -85,6 +85,9 @@
 
 func (c clock) now() time.Duration { return c.epoch + time.Since(c.start) }
 
+// at is the time of the clock at t, which must have been read from the monotonic clock.
+func (c clock) at(t time.Time) time.Duration { return c.epoch + t.Sub(c.start) }
+
 // alarm is a call that is due at a time.
 type alarm struct {
 	at    time.Duration
--- a/internal/gateway/reader.go
+++ b/internal/gateway/reader.go
@@ -39,6 +39,8 @@
 	args   [][]byte  // memory for the next command's
 	since  time.Time // the start, the last whole command, or the first byte of the one in buf
 	heard  bool      // there was a whole command
+	came   arrivals  // of the bytes in buf
+	looked time.Time // when the client's end was last looked for while too many answers were owed
 }
 
 // run reads until the client leaves, breaks the framing or lets a time limit pass. One read deadline holds all
@@ -46,6 +48,7 @@
 // and goes would else leave what it sent to be worked on.
 func (r *reader) run() {
 	r.buf, r.since = make([]byte, 0, clientBuffer), time.Now()
+	r.came.emptyAt = r.clock.at(r.c.accepted)
 	for {
 		// The loop sets a mark, or takes what it has answered from what is owed, before it sets its own deadline; so
 		// the reader sets this one before it looks at either.
@@ -59,6 +62,9 @@
 			err = r.handOn()
 		}
 		waits := r.held() // for answers: what the client has sent meanwhile is not late
+		if err == nil && waits {
+			err = r.lookForEnd()
+		}
 		if err == nil {
 			err = r.read()
 		}
@@ -104,11 +110,13 @@
 	if len(r.buf) == cap(r.buf) {
 		r.buf = slices.Grow(r.buf, cap(r.buf))
 	}
+	r.came.beforeRead(r.clock.now(), r.c.conn.Quiet())
 	n, err := r.c.conn.Read(r.buf[len(r.buf):cap(r.buf)])
 	if len(r.buf) == 0 && n > 0 {
 		r.since = time.Now()
 	}
 	r.buf = r.buf[:len(r.buf)+n]
+	r.came.afterRead(r.clock.now(), n, len(r.buf))
 	return err
 }
 
@@ -122,9 +130,20 @@
 	case <-r.c.gone:
 		return net.ErrClosed
 	case <-look.C:
-		if r.c.conn.HungUp() {
-			return io.ErrUnexpectedEOF
-		}
+	}
+	return r.lookForEnd()
+}
+
+// lookForEnd looks whether the client has gone, at most once in lookEvery. How often the loop wakes the reader must not
+// matter: with answers that come in quick succession the end would else be found only once everything before it is read.
+func (r *reader) lookForEnd() error {
+	now := time.Now()
+	if now.Sub(r.looked) < lookEvery {
+		return nil
+	}
+	r.looked = now
+	if r.c.conn.HungUp() {
+		return io.ErrUnexpectedEOF
 	}
 	return nil
 }
@@ -168,6 +187,7 @@
 			break
 		}
 		r.heard, r.since = true, time.Now()
+		r.came.drop(used)
 		if r.buf = r.buf[:copy(r.buf, r.buf[used:])]; len(r.buf) == 0 && cap(r.buf) > clientBuffer {
 			r.buf = make([]byte, 0, clientBuffer)
 		}
@@ -182,8 +202,8 @@
 		if n, r.args, err = nextCommand(r.buf[used:], r.args); n == 0 {
 			break
 		}
-		got = append(got, interpret(r.cfg, r.args, r.clock.now()))
 		used += n
+		got = append(got, interpret(r.cfg, r.args, r.came.of(used)))
 	}
 	return got, used, err
 }
@@ -205,15 +225,15 @@
 	r.post(e)
 }
 
-// interpret turns a command into a request, or into its answer.
-func interpret(cfg *Config, args [][]byte, now time.Duration) received {
+// interpret turns a command into a request, or into its answer. Its last byte came at the time came.
+func interpret(cfg *Config, args [][]byte, came time.Duration) received {
 	if len(args) == 0 {
 		return received{reply: redcon.AppendError(nil, "ERR empty command")}
 	}
 	name := strings.ToUpper(string(args[0][:min(len(args[0]), 16)]))
 	switch name {
 	case "Q.ASK", "Q.DO":
-		cmd, err := parseRequest(cfg, name, args, now)
+		cmd, err := parseRequest(cfg, name, args, came)
 		if err != nil {
 			return received{reply: redcon.AppendError(nil, "ERR "+err.Error())}
 		}
