Slow start begins at what is observed and goes by the monotonic clock

Cause: decide.go compared a server's start time, a reading of another machine's wall clock, with this gateway's clock, which took its own wall clock once (e.Started+ColdFor > g.now), and took a restart for one only if it started later than before (e.Started > s.Started). After a step back by 10 s or an hour of either clock a new server was warm at once and a restarted one not seen as restarted, and every gateway flooded it; a step forward of this machine's before its start did the same.

Now slow start begins with a new id, another start time or another address in a notified change, and lasts for as long as the settings say. Only the first list of a process, which can't tell since when its servers are there, takes their age from the start time, bounded on both sides; slowstart.go says what is left open by that. The gateway tells the module once discovery was heard and had nothing new, so that the next change counts as observed.

TestWholeListIsAsEntriesOneByOne tells both of its gateways an empty change first, as the first list is now taken otherwise; it compares as much as before.

--- a/decide/api.go
+++ b/decide/api.go
@@ -215,11 +215,12 @@
 // Server is an entry of the list of servers.
 type Server struct {
 	ID      string
+	Address string // where it listens; it may be left out, always
 	Zone    string
 	Cell    int
 	Kind    string
 	State   State
-	Started time.Duration // 0: long ago
+	Started time.Duration // by its machine's wall clock, which may be off; 0: long ago
 	Weight  float64
 }
 
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -525,7 +525,7 @@
 	listed, known := map[string]bool{}, len(g.order)
 	for _, s := range e.Servers {
 		listed[s.ID] = true
-		g.listed(s, e.Kind == FleetStale)
+		g.listed(s)
 	}
 	g.place(known)
 	if e.Kind != FleetDelta {
@@ -535,23 +535,20 @@
 			}
 		}
 	}
+	g.listLive = g.listLive || e.Kind != FleetStale
 	g.survey()
 }
 
-func (g *Gateway) listed(e Server, stale bool) {
+func (g *Gateway) listed(e Server) {
 	if e.State == Gone { // its cell and zone may be left out, and stay as told first: repeats go by them
 		if s := g.servers[e.ID]; s != nil {
 			s.State = Gone
 		}
 		return
 	}
+	_, known := g.servers[e.ID]
 	s := g.server(e.ID)
-	if e.Started > s.Started && e.Started+g.cfg.Safety.ColdFor > g.now {
-		from := min(e.Started, g.now) // by a clock that is ahead it would stay cold until then
-		s.coldUntil, s.phase, s.phaseAt = from+g.cfg.Safety.ColdFor, g.rng.Float64(), g.now
-		s.slow, s.ripe, s.answers = 1, false, rate{}
-		clear(s.miss)
-	}
+	g.observe(s, e, known)
 	s.Server = e
 }
 
