--- a/decide/decide.go
+++ b/decide/decide.go
@@ -525,7 +525,7 @@
 	listed, known := map[string]bool{}, len(g.order)
 	for _, s := range e.Servers {
 		listed[s.ID] = true
-		g.listed(s)
+		g.listed(s, known == 0)
 	}
 	g.place(known)
 	if e.Kind != FleetDelta {
@@ -535,11 +535,10 @@
 			}
 		}
 	}
-	g.listLive = g.listLive || e.Kind != FleetStale
 	g.survey()
 }
 
-func (g *Gateway) listed(e Server) {
+func (g *Gateway) listed(e Server, firstList bool) {
 	if e.State == Gone { // its cell and zone may be left out, and stay as told first: repeats go by them
 		if s := g.servers[e.ID]; s != nil {
 			s.State = Gone
@@ -548,7 +547,9 @@
 	}
 	_, known := g.servers[e.ID]
 	s := g.server(e.ID)
-	g.observe(s, e, known)
+	if !known || e.Started != s.Started || e.Address != s.Address {
+		g.observeStart(s, e, firstList)
+	}
 	s.Server = e
 }
 
--- a/decide/slowstart.go
+++ b/decide/slowstart.go
@@ -8,19 +8,17 @@
 // is observed is not. So slow start begins with the observation and goes by the monotonic clock, and a start time is
 // compared with nothing but the one told before.
 //
-// One case is left to the wall clock. The first list of a process tells what is there, and not since when: a server in it
-// may have started a moment or a year ago. Only the start time says something of that, so the age that it tells is taken
-// there, bounded to 0 on one side and to the end of slow start on the other. If this machine's clock is ahead of the
-// server's by more than the length of slow start, a server that has just started passes for one that has long been there;
-// nothing in a first list can tell the two apart.
+// One case is left to the wall clock. The first list that a process takes, be it that of its configuration or discovery's,
+// tells what is there, and not since when: a server in it may have started a moment or a year ago. Only the start time
+// says something of that, so the age that it tells is taken there, bounded to 0 on one side and to the end of slow start on
+// the other. If this machine's clock is ahead of the server's by more than the length of slow start, a server that has just
+// started passes for one that has long been there; nothing in a first list can tell the two apart. What differs from the
+// first list is observed, also where it changed before this process began.
 
-// observe takes an entry of a list for a server that serves or drains. It must be called before the entry is stored.
-func (g *Gateway) observe(s *server, e Server, known bool) {
-	if known && e.Started == s.Started && e.Address == s.Address {
-		return
-	}
+// observeStart takes that a server has started: its entry is new, or differs in its start time or address.
+func (g *Gateway) observeStart(s *server, e Server, firstList bool) {
 	age := time.Duration(0)
-	if !g.listLive {
+	if firstList {
 		age = max(0, g.now-e.Started)
 	}
 	if e.Started == 0 { // "for long ago"
--- a/decide/state.go
+++ b/decide/state.go
@@ -29,7 +29,6 @@
 	plans        map[string]int
 	servers      map[string]*server
 	order        []*server // by ID
-	listLive     bool      // a list that was not stale has been taken, so what differs from it has changed since
 	requests     map[string]*request
 	timers       map[uint64]attemptRef
 	nextToken    uint64
--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -23,7 +23,6 @@
 	hearFirst     = 100 * time.Millisecond // a gateway that starts waits so long for news before it takes clients in
 	listMost      = 8 << 20                // bytes of a list: about 70,000 servers
 	headMost      = 64 << 10               // bytes of an answer's head
-	waitedFor     = 500 * time.Millisecond // a watch that is answered later than this waited for news
 )
 
 // errOverbooked says that discovery is up and has turned a call away, as it has too many.
@@ -145,7 +144,7 @@
 // run makes one call after the other until the context ends.
 func (w *watcher) run(ctx context.Context) {
 	defer w.client.CloseIdleConnections()
-	begun, failing, long, live := time.Now(), false, false, false
+	begun, failing, long := time.Now(), false, false
 	pacer := watch.New(watch.Config{Agent: w.agent, Held: w.known, Version: w.version, Wait: w.wait, Over: w.over, Check: w.check},
 		rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	for ctx.Err() == nil {
@@ -154,7 +153,6 @@
 		if call.Kind != watch.Whole {
 			url = fmt.Sprintf("%s?after=%d&wait_ms=%d", w.base, call.After, call.Wait.Milliseconds())
 		}
-		called := time.Now()
 		list, err := w.fetch(ctx, url, call.Within)
 		step := pacer.Done(time.Since(begun), watch.Result{End: end(err), Version: list.Version, Full: list.Full, Entries: len(list.Servers)})
 		err = cmp.Or(err, step.Err)
@@ -166,12 +164,6 @@
 			w.log.Warn("discovery is failing", "err", err)
 		}
 		failing, long = err != nil, errors.Is(err, errTooLong) || long && err != nil
-		if step.Heard && !live {
-			live = true
-			if !step.Take || time.Since(called) > waitedFor { // the list held was up to date when the call began
-				w.post(fleetNews{decide.FleetDelta, serverList{Version: list.Version}})
-			}
-		}
 		if step.Take {
 			kind := decide.FleetDelta
 			if list.Full {
