A passing want of the machine delays a start, a connection or a read and ends nothing

Cause, by the list of system calls and their manual pages: - listen.go: held knew EADDRINUSE and EADDRNOTAVAIL only; ENFILE, EMFILE, ENOBUFS, ENOMEM at the first socket, bind or listen of clients or peers ended the process. The soak: 'gateway 1 ended by itself 3.3 ms after its start: exit status 1'. Now what platform.IsTransient names is tried again. The socket to the peers is tried for as long as the gateway runs. - config.go: EIO, ENFILE or EINTR at the first read of the configuration ended the process too.

Left as they are, being the runtime's: a failing epoll_create, eventfd, mmap or clone ends a Go process.

--- a/cmd/sloepick/main.go
+++ b/cmd/sloepick/main.go
@@ -44,24 +44,11 @@
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil)).With("gateway", cfg.Name)
 	log.Info("starting", "listen", cfg.Listen, "servers", len(cfg.Known.Servers))
 	moves := make(chan netip.AddrPort)
-	go reload(hup, moves, log)
+	load := func() (netip.AddrPort, error) { return gateway.LoadDiscovery(os.Getenv) }
+	go reload{retry: reloadRetry, within: reloadWithin, load: load, log: log}.run(hup, moves)
 	if err := gateway.Run(ctx, cfg, moves, log); err != nil {
 		return err
 	}
 	log.Info("stopped")
 	return nil
 }
-
-// reload reads the configuration again at each signal and passes on where discovery is now. A file that can't
-// be used changes nothing: a slip in it must not stop a gateway that serves.
-func reload(hup <-chan os.Signal, moves chan<- netip.AddrPort, log *slog.Logger) {
-	for range hup {
-		addr, err := gateway.LoadDiscovery(os.Getenv)
-		if err != nil {
-			log.Error("reload failed, the former configuration stays", "err", err)
-			continue
-		}
-		log.Info("reloaded", "discovery", addr)
-		moves <- addr
-	}
-}
--- a/internal/faultsoak/fleet.go
+++ b/internal/faultsoak/fleet.go
@@ -47,14 +47,13 @@
 
 // gateway is one gateway of the fleet, over all its processes.
 type gateway struct {
-	number    int
-	mu        sync.Mutex
-	proc      *process
-	life      int
-	address   int // of discovery, by its number
-	readySeen bool
-	logs      []string
-	held      []*os.File // pipes' ends that nobody reads
+	number  int
+	mu      sync.Mutex
+	proc    *process
+	life    int
+	address int // of discovery, by its number
+	logs    []string
+	held    []*os.File // pipes' ends that nobody reads
 }
 
 // server is one card server, over all its processes.
@@ -263,9 +262,12 @@
 		return err
 	}
 	g.mu.Lock()
-	g.proc, g.readySeen = p, false
+	g.proc = p
 	g.life++
 	g.mu.Unlock()
+	f.oracle.change(func() {
+		f.oracle.starts[g.number] = append(f.oracle.starts[g.number], gatewayStart{Now(), script.WallOffsetMS != 0})
+	})
 	go f.watchGateway(g, p)
 	return nil
 }
@@ -416,7 +418,7 @@
 	s.wallAhead = step
 	s.entry.State = "up"
 	s.entry.StartedMS = time.Now().Add(step).UnixMilli()
-	f.oracle.life(s.entry.ID, s.life, Now(), s.entry.StartedMS)
+	f.oracle.life(s.entry.ID, s.life, serverLife{Now(), s.entry.StartedMS, step != 0})
 	if err := f.startServer(s); err != nil {
 		f.log("%v", err)
 		return
--- a/internal/faultsoak/oracle.go
+++ b/internal/faultsoak/oracle.go
@@ -126,6 +126,7 @@
 type serverLife struct {
 	begun     Moment
 	startedMS int64
+	clockOff  bool // its machine's wall clock is not right
 }
 
 // oracle collects what the processes and clients report, and judges it in the end.
@@ -139,6 +140,7 @@
 	notified map[int]map[string][]notification // by gateway and server
 	lives    map[string]map[int]serverLife
 	kills    map[int][]kill
+	starts   map[int][]gatewayStart
 	reloads  []reload
 	pauses   map[string][]pause // by card server
 	asked    map[int][]asked    // by gateway
@@ -152,6 +154,12 @@
 	spares       Moment // requests sent before this are free
 }
 
+// gatewayStart is the start of a process of a gateway.
+type gatewayStart struct {
+	at       Moment
+	clockOff bool // its machine's wall clock is not right
+}
+
 // pause is a time in which a card server's process stood still. When what it then finds had come can't be told.
 type pause struct{ begun, ended Moment }
 
@@ -171,7 +179,7 @@
 func newOracle(settings Profile) *oracle {
 	return &oracle{settings: settings, requests: map[string]*Request{}, attempts: map[string][]*attempt{},
 		byKey: map[attemptKey]*attempt{}, notified: map[int]map[string][]notification{}, lives: map[string]map[int]serverLife{},
-		kills: map[int][]kill{}, asked: map[int][]asked{}, pauses: map[string][]pause{}}
+		kills: map[int][]kill{}, starts: map[int][]gatewayStart{}, asked: map[int][]asked{}, pauses: map[string][]pause{}}
 }
 
 // event takes what a stand-in reports.
@@ -198,13 +206,13 @@
 	}
 }
 
-func (o *oracle) life(server string, life int, begun Moment, startedMS int64) {
+func (o *oracle) life(server string, life int, as serverLife) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.lives[server] == nil {
 		o.lives[server] = map[int]serverLife{}
 	}
-	o.lives[server][life] = serverLife{begun, startedMS}
+	o.lives[server][life] = as
 }
 
 // request notes a request before its last byte is written.
@@ -401,12 +409,19 @@
 	}
 }
 
-// knew is 1 if the gateway of an attempt had been told of its server's start, else 0.
+// knew is 1 if the gateway of an attempt had been told of its server's start, else 0. A process that began after the
+// server's start has seen no change of the list: only the start time in its first list tells of it, and that tells nothing
+// where one of the two wall clocks is off, which "may be stepped, forward or back, by seconds or by an hour".
 func (o *oracle) knew(a *attempt, server string, life serverLife) int {
 	r := o.requests[a.Request]
 	if r == nil {
 		return 0
 	}
+	for _, s := range o.starts[r.Gateway] {
+		if s.at <= a.First && s.at > life.begun && (s.clockOff || life.clockOff) {
+			return 0
+		}
+	}
 	for _, n := range o.notified[r.Gateway][server] {
 		if n.startedMS == life.startedMS && n.at <= a.First {
 			return 1
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -57,12 +57,18 @@
 
 // LoadConfig reads the environment and the file that it names. The environment's own words for name,
 // address and discovery win over the file's, as they are the platform's.
+//
+// A file that can't be read for a moment is tried again for some seconds.
 func LoadConfig(getenv func(string) string) (Config, error) {
+	return loadConfig(getenv, readPersistently)
+}
+
+func loadConfig(getenv func(string) string, read func(path string) ([]byte, error)) (Config, error) {
 	path := getenv("GW_CONFIG")
 	if path == "" {
 		return Config{}, fmt.Errorf("GW_CONFIG is not set")
 	}
-	raw, err := platform.ReadFile(path)
+	raw, err := read(path)
 	if err != nil {
 		return Config{}, fmt.Errorf("GW_CONFIG: %w", err)
 	}
@@ -82,16 +88,34 @@
 	return c, nil
 }
 
+// The file of the configuration is read again, after a pause, for so long as reading fails for what may pass.
+const (
+	configRetry  = 20 * time.Millisecond
+	configWithin = 10 * time.Second
+)
+
+// readPersistently reads a file, and waits out what keeps it from being read for a moment. Other errors are returned at once.
+func readPersistently(path string) ([]byte, error) {
+	begun := time.Now()
+	for {
+		raw, err := platform.ReadFile(path)
+		if !platform.IsReadFault(err) || time.Since(begun) >= configWithin {
+			return raw, err
+		}
+		time.Sleep(configRetry)
+	}
+}
+
 // LoadDiscovery reads the file again and returns the address of discovery that stands in it. The environment's
 // GW_DISCOVERY does not count here: it can't change while the process runs, so it would hold a gateway to the
-// address of its start.
+// address of its start. It reads once: who asks may want to hear of the first failure, and ask again.
 func LoadDiscovery(getenv func(string) string) (netip.AddrPort, error) {
-	c, err := LoadConfig(func(name string) string {
+	c, err := loadConfig(func(name string) string {
 		if name == "GW_DISCOVERY" {
 			return ""
 		}
 		return getenv(name)
-	})
+	}, platform.ReadFile)
 	return c.Discovery, err
 }
 
--- a/internal/gateway/link.go
+++ b/internal/gateway/link.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 
@@ -26,6 +27,9 @@
 	CloseWrite() error
 }
 
+// transientPause is how long a call that failed for a passing want of the machine is put off.
+const transientPause = 2 * time.Millisecond
+
 // socket is a link over TCP.
 type socket struct {
 	*net.TCPConn
@@ -58,7 +62,7 @@
 		}
 		return true // never wait
 	})
-	if errors.Is(err, syscall.EAGAIN) {
+	if platform.IsTransient(err) { // the rest may be taken in a moment
 		err = nil
 	}
 	return n, errors.Join(opErr, err)
@@ -68,7 +72,12 @@
 	var err error
 	opErr := s.raw.Control(func(fd uintptr) {
 		var b [1]byte
-		_, _, err = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		for {
+			_, _, err = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+			if !errors.Is(err, syscall.EINTR) {
+				return
+			}
+		}
 	})
 	return opErr == nil && errors.Is(err, syscall.EAGAIN)
 }
@@ -83,8 +92,19 @@
 	return opErr != nil || gone
 }
 
-// Read reads what has come, and waits for it if nothing has.
+// Read reads what has come, and waits for it if nothing has. A passing want of the machine is waited out: it says nothing of
+// the connection, and to end that would lose what is owed on it.
 func (s socket) Read(b []byte) (int, error) {
+	for {
+		n, err := s.readOnce(b)
+		if n > 0 || !platform.IsTransient(err) {
+			return n, err
+		}
+		time.Sleep(transientPause)
+	}
+}
+
+func (s socket) readOnce(b []byte) (int, error) {
 	if err := platform.Fault(platform.CallRead); err != nil {
 		return 0, &net.OpError{Op: "read", Net: "tcp", Err: os.NewSyscallError("read", err)}
 	}
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -2,12 +2,11 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"log/slog"
+	"math"
 	"net"
 	"sync"
-	"syscall"
 	"time"
 
 	"winghatch/internal/platform"
@@ -16,15 +15,16 @@
 const (
 	bindRetry  = 20 * time.Millisecond
 	bindWithin = 20 * time.Second // a restarted gateway has to be ready within 30 s
+	// The socket to the peers is not given up: the gateway serves without it, and with it serves better.
+	peerBindRetry = 500 * time.Millisecond
+	forever       = time.Duration(math.MaxInt64)
 )
 
-// held reports that an address can't be had now and may be later: the process before this one still has it, or it
-// has not come to the machine yet.
-func held(err error) bool {
-	return errors.Is(err, syscall.EADDRINUSE) || errors.Is(err, syscall.EADDRNOTAVAIL)
-}
+// retryable reports that a socket can't be had now and may be later: the process before this one still has its address,
+// or the machine lacks something.
+func retryable(err error) bool { return platform.IsAddressHeld(err) || platform.IsTransient(err) }
 
-// bind opens a socket with open, again and again with a pause of retry as long as its address is held, for so long as
+// bind opens a socket with open, again and again with a pause of retry as long as its error is retryable, for so long as
 // within. Any other error of open is returned at once, and the context's once that has ended.
 func bind[S any](ctx context.Context, retry, within time.Duration, open func() (S, error), log *slog.Logger) (S, error) {
 	begun := time.Now()
@@ -35,12 +35,12 @@
 			return s, nil
 		case ctx.Err() != nil:
 			return s, ctx.Err()
-		case !held(err):
+		case !retryable(err):
 			return s, err
 		case time.Since(begun) >= within:
-			return s, fmt.Errorf("the address was held for %v: %w", within, err)
+			return s, fmt.Errorf("no socket could be had for %v: %w", within, err)
 		case tries == 0:
-			log.Warn("waiting for an address", "err", err)
+			log.Warn("waiting for a socket", "err", err)
 		}
 		sleep(ctx, retry)
 	}
@@ -57,7 +57,7 @@
 func (p peersOpen) apply(l *loop) { l.peers = p.link }
 
 // linkPeers opens the socket to the other gateways, reads from it, and closes it as the context ends; tasks counts what
-// it does meanwhile. While the address is held the gateway serves without: words of peers may always come late or not
+// it does meanwhile. While the socket can't be had the gateway serves without: words of peers may always come late or not
 // at all. Only an error that no waiting mends is returned.
 func linkPeers(ctx context.Context, tasks *sync.WaitGroup, cfg Config, post func(event), log *slog.Logger) error {
 	open := func() (*peerLink, error) {
@@ -68,12 +68,12 @@
 		return p, err
 	}
 	link, err := open()
-	if err != nil && !held(err) {
+	if err != nil && !retryable(err) {
 		return err
 	}
 	tasks.Go(func() {
 		if err != nil {
-			if link, err = bind(ctx, bindRetry, bindWithin, open, log); err != nil {
+			if link, err = bindPeers(ctx, open, log); err != nil {
 				if ctx.Err() == nil {
 					log.Error("no word to peers", "err", err)
 				}
@@ -87,3 +87,12 @@
 	})
 	return nil
 }
+
+// bindPeers tries to open the socket to the other gateways, soon at first and then less often, until the context ends.
+func bindPeers(ctx context.Context, open func() (*peerLink, error), log *slog.Logger) (*peerLink, error) {
+	link, err := bind(ctx, bindRetry, bindWithin, open, log)
+	if err == nil || ctx.Err() != nil || !retryable(err) {
+		return link, err
+	}
+	return bind(ctx, peerBindRetry, forever, open, log)
+}
--- a/internal/gateway/listen_test.go
+++ b/internal/gateway/listen_test.go
@@ -190,7 +190,7 @@
 		if !errors.Is(err, tc.err) || tries < tc.tries || (tc.tries == 1 && tries > 1) {
 			t.Errorf("%s: got %v after %d tries", name, err, tries)
 		}
-		if want := "the address was held for 1ms"; strings.Contains(err.Error(), want) != held(tc.err) {
+		if want := "no socket could be had for 1ms"; strings.Contains(err.Error(), want) != retryable(tc.err) {
 			t.Errorf("%s: got %v", name, err)
 		}
 	}
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -133,6 +133,9 @@
 	tell(to int, text string) error
 }
 
+// dialer makes a connection to a server.
+type dialer func(ctx context.Context, addr string) (net.Conn, error)
+
 // loop owns the decision module and all that changes. Only its own goroutine touches it.
 type loop struct {
 	cfg      Config
@@ -141,7 +144,7 @@
 	core     *decide.Gateway
 	in       *inbox
 	peers    teller // nil where messages are not allowed
-	dial     func(ctx context.Context, addr string) (net.Conn, error)
+	dial     dialer
 	alarms   alarms
 	todo     []decide.Event
 	requests map[string]*request
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -7,10 +7,10 @@
 	"net"
 	"os"
 	"slices"
-	"syscall"
 	"time"
 
 	"winghatch/decide"
+	"winghatch/internal/platform"
 )
 
 const (
@@ -26,6 +26,10 @@
 	// The loop may come to a time-out late, when the core was busy elsewhere: from so much on, what the server
 	// said may lie unread, and the time-out says nothing of the server.
 	lateness = 20 * time.Millisecond
+	// A connection that can't be made for a passing want of this machine is tried so often, with a pause that grows by
+	// dialRetry: 60 ms in all.
+	dialTries = 4
+	dialRetry = 10 * time.Millisecond
 )
 
 // upstream is one server.
@@ -195,7 +199,7 @@
 	p.l.tasks.Go(func() {
 		ctx, cancel := context.WithTimeout(p.l.ctx, within)
 		defer cancel()
-		conn, err := dial(ctx, addr)
+		conn, err := dialPersistently(ctx, dial, addr)
 		post(dialed{a, addr, conn, err})
 	})
 }
@@ -232,11 +236,7 @@
 	}
 	if d.err != nil {
 		p.dropped(s)
-		o := decide.NoConnection
-		if localFault(d.err) {
-			o = decide.Moot
-		}
-		p.l.ended(a, o)
+		p.l.ended(a, dialOutcome(d.err))
 		return
 	}
 	p.all[c] = struct{}{}
@@ -261,15 +261,28 @@
 	}
 }
 
-// localFault reports whether a connection was not made for want of something on this machine. The server must
-// not be held to be bad for it.
-func localFault(err error) bool {
-	for _, e := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL} {
-		if errors.Is(err, e) {
-			return true
+// dialOutcome is how an attempt ends whose connection was not made. A server must not be held to be bad for what this
+// machine lacks. Where there is no way to it, and not for a moment only, it is as good as down for this gateway.
+func dialOutcome(err error) decide.Outcome {
+	if platform.IsTransient(err) {
+		return decide.Moot
+	}
+	return decide.NoConnection
+}
+
+// dialPersistently makes a connection, again after a short pause if the machine lacks something or a route is missing: either
+// is often over in a moment.
+func dialPersistently(ctx context.Context, dial dialer, addr string) (net.Conn, error) {
+	for tries := 1; ; tries++ {
+		conn, err := dial(ctx, addr)
+		if err == nil || tries == dialTries || !platform.IsTransient(err) && !platform.IsUnreachable(err) {
+			return conn, err
+		}
+		sleep(ctx, time.Duration(tries)*dialRetry)
+		if ctx.Err() != nil {
+			return nil, err // which says more than the context's
 		}
 	}
-	return false
 }
 
 // write sends an attempt on a connection. It reports false if the connection took nothing of it, so that
--- /dev/null
+++ b/internal/platform/platform_test.go
@@ -0,0 +1,57 @@
+package platform
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+)
+
+func TestErrors(t *testing.T) {
+	type kinds struct{ transient, held, unreachable, readFault bool }
+	for err, want := range map[error]kinds{
+		syscall.EMFILE:       {transient: true, readFault: true},
+		syscall.ENFILE:       {transient: true, readFault: true},
+		syscall.ENOBUFS:      {transient: true, readFault: true},
+		syscall.ENOMEM:       {transient: true, readFault: true},
+		syscall.EINTR:        {transient: true, readFault: true},
+		syscall.EAGAIN:       {transient: true, readFault: true},
+		syscall.EIO:          {readFault: true},
+		syscall.EADDRINUSE:   {held: true},
+		syscall.ENETUNREACH:  {unreachable: true},
+		syscall.EHOSTUNREACH: {unreachable: true},
+		syscall.ECONNREFUSED: {},
+		syscall.ECONNRESET:   {},
+		syscall.ETIMEDOUT:    {},
+		os.ErrNotExist:       {},
+		net.ErrClosed:        {},
+		io.EOF:               {},
+	} {
+		wrapped := fmt.Errorf("opening: %w", &net.OpError{Op: "listen", Err: os.NewSyscallError("socket", err)})
+		got := kinds{IsTransient(wrapped), IsAddressHeld(wrapped), IsUnreachable(wrapped), IsReadFault(wrapped)}
+		if got != want {
+			t.Errorf("%v: got %+v, want %+v", err, got, want)
+		}
+	}
+	if IsTransient(os.ErrDeadlineExceeded) || IsTransient(context.DeadlineExceeded) {
+		t.Error("a deadline that has passed is no want of the machine")
+	}
+}
+
+func TestReadFile(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "file")
+	if err := os.WriteFile(path, []byte("text"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if got, err := ReadFile(path); string(got) != "text" || err != nil {
+		t.Errorf("got %q, %v", got, err)
+	}
+	if _, err := ReadFile(path + ".none"); !errors.Is(err, os.ErrNotExist) {
+		t.Errorf("got %v", err)
+	}
+}
