Slow clients are judged by progress, requests before a fault get their answers, last bytes follow soon

Now a write is given up when the client takes nothing for 2 s, looked at each 100 ms as the kernel wakes a writer only at a third of its buffer. An answer counts as owed until it is written, so at most 64 of them wait on a connection, and an eighth of the memory holds what all clients leave unread.

What is open after 2 s is now failed, so its answer, the error and the close come within the 3 s that bad clients are owed.

--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -12,11 +12,13 @@
 
 const (
 	clientBuffer = 1 << 10         // bytes of a connection's read buffer between commands
-	owedMost     = 64              // answers owed on one connection; beyond these, commands are not handed on
-	backlogMost  = 1 << 20         // bytes of answers that a client leaves unread, before it is given up
+	owedMost     = 64              // answers that a client has not been sent yet; beyond these, commands are not handed on
 	clientWrite  = 2 * time.Second // a client that takes nothing for so long is given up
-	faultWithin  = time.Second     // a connection that can't be read any more ends after this, whatever is open on it
-	acceptAhead  = 16              // connections that may be taken before the loop has counted them
+	unsentPart   = 8               // of the memory limit goes to answers that clients leave unread
+	// Whoever sends what can't be read is owed an error within 3 s. Requests before it are owed their answers, and those
+	// that are still open after this are failed, so that the error can follow.
+	faultWithin = 2 * time.Second
+	acceptAhead = 16 // connections that may be taken before the loop has counted them
 	// A connection on which a command waits unread is reset as it is closed, and the reset may overtake or destroy
 	// the answers before it. So the gateway ends its sending first, and closes when those have arrived.
 	lingerFor = 150 * time.Millisecond
@@ -32,12 +34,15 @@
 // client is a connection of a client.
 type client struct {
 	lifeline
-	slots    []*slot // in the order of the commands
-	backlog  []byte  // answers behind those that are being written
-	used     time.Duration
-	owed     atomic.Int32 // answers that the reader counts on the loop to give
-	accepted time.Time    // when it was taken from the listener
-	weaned   atomic.Bool  // to end between requests: no further command is waited for once all is answered
+	slots        []*slot // in the order of the commands
+	backlog      []byte  // answers behind those that are being written
+	waiting      int     // answers in the backlog
+	writing      int     // answers that a goroutine is writing ...
+	writingBytes int     // ... and their bytes
+	used         time.Duration
+	owed         atomic.Int32 // answers that the reader counts on the loop to give
+	accepted     time.Time    // when it was taken from the listener
+	weaned       atomic.Bool  // to end between requests: no further command is waited for once all is answered
 }
 
 func newClient(conn net.Conn) (*client, error) {
@@ -96,7 +101,16 @@
 		l.endIfDone(c)
 	}
 	if e.fault {
-		l.after(&c.lifeline, faultWithin, func() { l.closeClient(c) })
+		l.after(&c.lifeline, faultWithin, func() { l.failOpen(c) })
+	}
+}
+
+// failOpen fails all requests that are open on a connection.
+func (l *loop) failOpen(c *client) {
+	for _, s := range slices.Clone(c.slots) {
+		if s.req != nil {
+			l.fail(s.req)
+		}
 	}
 }
 
@@ -204,30 +218,51 @@
 
 // flush writes the answers that are next in order, in one write.
 func (l *loop) flush(c *client) {
-	n, wake := 0, false
+	n := 0
 	for n < len(c.slots) && c.slots[n].ready {
 		c.backlog = append(c.backlog, c.slots[n].reply...)
+		l.unsent += len(c.slots[n].reply)
 		n++
 	}
 	if n > 0 {
 		c.slots = slices.Delete(c.slots, 0, n)
+		c.waiting += n
 		c.used = l.clock.now()
-		owed := c.owed.Add(int32(-n))
-		wake = owed < owedMost && owed+int32(n) >= owedMost || len(c.slots) == 0 && c.weaned.Load()
 	}
 	l.push(c)
-	if wake {
+	l.boundUnsent()
+	l.endIfDone(c)
+}
+
+// sent takes that answers have been written: the client may be owed as many more.
+func (l *loop) sent(c *client, answers, bytes int) {
+	l.unsent -= bytes
+	owed := c.owed.Add(int32(-answers))
+	if owed < owedMost && owed+int32(answers) >= owedMost || owed == 0 && c.weaned.Load() {
 		l.wakeReader(c)
 	}
-	l.endIfDone(c)
+}
+
+// boundUnsent ends connections for as long as clients together leave more unread than there is memory for, the one that
+// holds most of it first. A client that takes its answers slowly is else let be.
+func (l *loop) boundUnsent() {
+	for l.unsent > l.cfg.MemoryMB<<20/unsentPart {
+		var most *client
+		for c := range l.clients {
+			if most == nil || len(c.backlog) > len(most.backlog) {
+				most = c
+			}
+		}
+		if most == nil || len(most.backlog) == 0 {
+			return // all of it is being written, in bounded pieces
+		}
+		l.log.Warn("a client is closed as answers unread by clients fill their memory", "bytes", len(most.backlog))
+		l.closeClient(most)
+	}
 }
 
 // push writes the backlog, unless an earlier write is still going on.
 func (l *loop) push(c *client) {
-	if len(c.backlog) > backlogMost {
-		l.closeClient(c)
-		return
-	}
 	if c.busy || len(c.backlog) == 0 {
 		return
 	}
@@ -237,12 +272,16 @@
 		return
 	}
 	if n == len(c.backlog) {
-		c.backlog = c.backlog[:0]
+		answers := c.waiting
+		c.backlog, c.waiting = c.backlog[:0], 0
+		l.sent(c, answers, n)
 		return
 	}
+	l.unsent -= n
 	rest := c.backlog[n:]
-	c.backlog = nil
-	c.finish(l, rest, clientWrite, func(err error) event { return flushed{c, err} })
+	c.writing, c.writingBytes = c.waiting, len(rest)
+	c.backlog, c.waiting = nil, 0
+	c.finish(l, rest, writeLimit{stalled: clientWrite}, func(err error) event { return flushed{c, err} })
 }
 
 // flushed tells how a slow write to a client ended.
@@ -253,10 +292,14 @@
 
 func (e flushed) apply(l *loop) {
 	l.on(&e.c.lifeline, func() {
-		if e.c.busy = false; e.err != nil {
+		e.c.busy = false
+		if e.err != nil {
 			l.closeClient(e.c)
 			return
 		}
+		answers, bytes := e.c.writing, e.c.writingBytes
+		e.c.writing, e.c.writingBytes = 0, 0
+		l.sent(e.c, answers, bytes)
 		l.push(e.c)
 		l.endIfDone(e.c)
 	})
@@ -286,7 +329,8 @@
 			l.abandon(s.req)
 		}
 	}
-	c.slots, c.backlog = nil, nil
+	l.unsent -= len(c.backlog) + c.writingBytes
+	c.slots, c.backlog, c.writingBytes = nil, nil, 0
 }
 
 // acceptClients takes connections until the listener is closed or the context ends. Only so many are taken
--- a/internal/gateway/lifeline.go
+++ b/internal/gateway/lifeline.go
@@ -93,14 +93,11 @@
 
 // finish writes the rest from a goroutine of its own and then posts what done makes of the result. Its time limit ends
 // with it: one that stayed would fail every later write, and with it the connection.
-func (c *lifeline) finish(l *loop, rest []byte, within time.Duration, done func(error) event) {
+func (c *lifeline) finish(l *loop, rest []byte, limit writeLimit, done func(error) event) {
 	c.busy = true
 	conn, post := c.conn, l.in.post
 	l.tasks.Go(func() {
-		err := conn.SetWriteDeadline(time.Now().Add(within))
-		if err == nil {
-			_, err = conn.Write(rest)
-		}
+		err := writeAll(conn, rest, limit)
 		if err == nil {
 			conn.SetWriteDeadline(time.Time{}) // fails on a closed connection only, and all was written all the same
 		}
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -155,6 +155,7 @@
 	limits   clientLimits
 	ahead    chan struct{} // holds one for each connection that was taken and is not counted yet
 	held     int           // bytes of the commands of open requests
+	unsent   int           // bytes of answers that clients have not taken
 	stopBy   time.Duration // 0, or when the last answers are due, as the gateway has been told to stop
 	closing  bool          // the listener is closed, and so are connections once nothing is owed on them
 	accepted bool          // all connections that the listener took have been counted
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -8,7 +8,6 @@
 	"log/slog"
 	"net"
 	"net/netip"
-	"slices"
 	"sync"
 	"time"
 )
@@ -131,11 +130,7 @@
 func (l *loop) stopAll() {
 	l.closing = true
 	for c := range l.clients {
-		for _, s := range slices.Clone(c.slots) {
-			if s.req != nil {
-				l.fail(s.req)
-			}
-		}
+		l.failOpen(c)
 		l.wean(c)
 	}
 	l.at(l.clock.now()+stopLast, func() {
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -29,7 +29,10 @@
 	// A connection that can't be made for a passing want of this machine is tried so often, with a pause that grows by
 	// dialRetry: 60 ms in all.
 	dialTries = 4
-	dialRetry = 10 * time.Millisecond
+	// The deadline that a request tells may be later than its client's by 0.15 s when its last byte arrives. It is made with
+	// the first byte, so the last one has to follow soon.
+	requestWrite = 100 * time.Millisecond
+	dialRetry    = 10 * time.Millisecond
 )
 
 // upstream is one server.
@@ -308,10 +311,21 @@
 		a.whole = true
 		return true
 	}
-	c.finish(p.l, b[n:], a.until-p.l.clock.now(), func(err error) event { return sent{c, a, err} })
+	c.finish(p.l, b[n:], writeLimit{total: p.lastByteWithin(a)}, func(err error) event { return sent{c, a, err} })
 	return true
 }
 
+// lastByteWithin is how long the rest of a request may take. Its server begins it with the last byte, so by then the time
+// that it tells must still be true, and a repeat must still be known as one.
+func (p *pool) lastByteWithin(a *attempt) time.Duration {
+	now := p.l.clock.now()
+	within := min(a.until-now, requestWrite)
+	if a.before > 0 {
+		within = min(within, a.before-now)
+	}
+	return max(within, time.Millisecond) // 0 would be no limit
+}
+
 // sent tells how the writing of a large request ended.
 type sent struct {
 	c   *upConn
