The end of a connection waits until a slow client has all that was sent

Cause: endIfDone closed 150 ms after CloseWrite. The kernel takes some MB of answers at once, so a slow client had read a part of them; input that it had sent meanwhile stood unread, and a close over unread input resets the connection and destroys what is under way (149,504 of 1,229,000 bytes had come when the connection was reset). The same end serves a protocol error, an idle close and SIGTERM, so a planned restart lost answers of slow clients in this way.

Now the connection lingers until the kernel has nothing left to send (SIOCOUTQ), or the client takes nothing for 2 s. Where the count can't be had, 150 ms stay as before. To make room, those are closed first that have nothing left to send. At a stop slow clients have 10 s, beyond which the platform has ended the gateway in any case.

Ruled out: reading and dropping the input instead; what is read and not answered is lost, where unread it is sent again.

--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -162,7 +162,7 @@
 // evictClient makes room for a new connection: one that only lingers goes first, else the quietest is to end.
 func (l *loop) evictClient() {
 	for c := range l.clients {
-		if c.phase == phaseLingering {
+		if c.phase == phaseLingering && c.conn.Unsent() == 0 {
 			l.closeClient(c)
 			return
 		}
@@ -315,7 +315,21 @@
 		l.closeClient(c) // already broken
 		return
 	}
-	l.after(&c.lifeline, lingerFor, func() { l.closeClient(c) })
+	l.after(&c.lifeline, lingerFor, func() { l.endLinger(c, c.conn.Unsent(), l.clock.now()) })
+}
+
+// endLinger closes a connection whose sending has ended, once the client has all that was sent, or takes nothing for
+// clientWrite. Before the last look unsent bytes were still to be taken, and some were taken at the time progress at the latest.
+func (l *loop) endLinger(c *client, unsent int, progress time.Duration) {
+	now, left := l.clock.now(), c.conn.Unsent()
+	if left < unsent {
+		progress = now
+	}
+	if left == 0 || now-progress >= clientWrite {
+		l.closeClient(c)
+		return
+	}
+	l.after(&c.lifeline, lingerFor, func() { l.endLinger(c, left, progress) })
 }
 
 // closeClient ends a connection. What was open on it is over: no one waits for it any more.
--- a/internal/gateway/link.go
+++ b/internal/gateway/link.go
@@ -23,6 +23,8 @@
 	// HungUp reports whether the peer has ended its sending or reset the connection, though what came before that
 	// may still be unread. False means that it is open, or that this can't be told.
 	HungUp() bool
+	// Unsent is how many bytes were written that the peer's machine has not taken yet; 0 if this can't be told.
+	Unsent() int
 	// CloseWrite ends the sending.
 	CloseWrite() error
 }
@@ -82,6 +84,16 @@
 	return opErr == nil && errors.Is(err, syscall.EAGAIN)
 }
 
+func (s socket) Unsent() int {
+	n := 0
+	var err error
+	opErr := s.raw.Control(func(fd uintptr) { n, err = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
+	if opErr != nil || err != nil {
+		return 0
+	}
+	return n
+}
+
 func (s socket) HungUp() (gone bool) {
 	const signs = unix.POLLRDHUP | unix.POLLHUP | unix.POLLERR
 	opErr := s.raw.Control(func(fd uintptr) {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -30,6 +30,8 @@
 	stopWait  = 3 * time.Second
 	stopOver  = 700 * time.Millisecond
 	stopEarly = 200 * time.Millisecond
+	// Clients that take their last answers slowly have this long; the platform may end the gateway before.
+	stopLongest = 10 * time.Second
 	// What was read ahead gets its refusals in this; connections linger before they are closed, still in stopEarly.
 	stopLast = stopEarly - lingerFor - 10*time.Millisecond
 )
@@ -139,6 +141,11 @@
 			l.endIfDone(c)
 		}
 	})
+	l.at(l.clock.now()+stopLongest, func() {
+		for c := range l.clients {
+			l.closeClient(c)
+		}
+	})
 }
 
 // acceptEnded tells that no further connection will come.
--- a/internal/gateway/wire_test.go
+++ b/internal/gateway/wire_test.go
@@ -185,6 +185,9 @@
 	return !e.closed && !e.reset && !e.finGot && len(e.waiting) == 0
 }
 
+// Unsent is 0: what is written is at the other end at once.
+func (e *wireEnd) Unsent() int { return 0 }
+
 func (e *wireEnd) HungUp() bool {
 	e.w.mu.Lock()
 	defer e.w.mu.Unlock()
