--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -22,6 +22,7 @@
 	// A connection on which a command waits unread is reset as it is closed, and the reset may overtake or destroy
 	// the answers before it. So the gateway ends its sending first, and closes when those have arrived.
 	lingerFor = 150 * time.Millisecond
+	finBytes  = 1 // the end of the sending counts as a byte that is to be taken
 )
 
 // slot holds the place of an answer among those of its connection.
@@ -162,7 +163,7 @@
 // evictClient makes room for a new connection: one that only lingers goes first, else the quietest is to end.
 func (l *loop) evictClient() {
 	for c := range l.clients {
-		if c.phase == phaseLingering && c.conn.Unsent() == 0 {
+		if c.phase == phaseLingering && c.conn.Unsent() <= finBytes {
 			l.closeClient(c)
 			return
 		}
@@ -325,7 +326,7 @@
 	if left < unsent {
 		progress = now
 	}
-	if left == 0 || now-progress >= clientWrite {
+	if left <= finBytes || now-progress >= clientWrite {
 		l.closeClient(c)
 		return
 	}
