The log never ends the gateway and never holds it up

Cause: slog wrote to standard error from whoever logged, the loop among them. Once the reader of that pipe is gone, the Go runtime answers the next write to descriptor 2 with SIGPIPE and the process dies (soak: 'gateway 2 ended by itself 3.6 ms after its start: signal: broken pipe'); once it has stopped reading, the write hangs, and with it the loop: at SIGTERM the line 'stopping' was never passed, so nothing was answered and the process did not end. A collector that restarts would so take down every gateway on its machines at the next line.

Now package logging passes lines on from a goroutine of its own over a bounded queue, drops and counts what finds no room, and says so when it can; SIGPIPE is ignored. GW_LOG sets the level.

Same class (a peer of the process that need not be there): a full accept queue logged a hundred lines a second, now one; reading from peers went round without a pause on an error that stays; discovery's redirects led to any address, now they are refused.

--- a/cmd/sloepick/main.go
+++ b/cmd/sloepick/main.go
@@ -13,13 +13,17 @@
 	"runtime"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"winghatch/internal/gateway"
+	"winghatch/internal/logging"
 )
 
 const (
 	heapPart  = 0.6 // of the memory limit: the rest is for stacks, the runtime and what the kernel counts
 	gcPercent = 400 // the live heap is small, so memory is cheaper than collections
+
+	flushWithin = 50 * time.Millisecond // for the last lines of the log
 )
 
 func main() {
@@ -32,6 +36,7 @@
 func run() error {
 	hup := make(chan os.Signal, 1) // from the first moment on: the default is to die of it
 	signal.Notify(hup, syscall.SIGHUP)
+	signal.Ignore(syscall.SIGPIPE) // which the runtime else raises when a line of the log finds its reader gone
 	cfg, err := gateway.LoadConfig(os.Getenv)
 	if err != nil {
 		return err
@@ -41,7 +46,13 @@
 	debug.SetMemoryLimit(int64(heapPart * float64(cfg.MemoryMB<<20)))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	log := slog.New(slog.NewTextHandler(os.Stderr, nil)).With("gateway", cfg.Name)
+	level, err := logging.ParseLevel(os.Getenv("GW_LOG"))
+	if err != nil {
+		return fmt.Errorf("GW_LOG: %w", err)
+	}
+	lines := logging.NewWriter(os.Stderr)
+	defer lines.Flush(flushWithin)
+	log := slog.New(slog.NewTextHandler(lines, &slog.HandlerOptions{Level: level})).With("gateway", cfg.Name)
 	log.Info("starting", "listen", cfg.Listen, "servers", len(cfg.Known.Servers))
 	moves := make(chan netip.AddrPort)
 	load := func() (netip.AddrPort, error) { return gateway.LoadDiscovery(os.Getenv) }
--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -8,6 +8,8 @@
 	"slices"
 	"sync/atomic"
 	"time"
+
+	"winghatch/internal/logging"
 )
 
 const (
@@ -18,7 +20,8 @@
 	// Whoever sends what can't be read is owed an error within 3 s. Requests before it are owed their answers, and those
 	// that are still open after this are failed, so that the error can follow.
 	faultWithin = 2 * time.Second
-	acceptAhead = 16 // connections that may be taken before the loop has counted them
+	acceptRetry = 10 * time.Millisecond // after a failure: the machine may have then what it lacked
+	acceptAhead = 16                    // connections that may be taken before the loop has counted them
 	// A connection on which a command waits unread is reset as it is closed, and the reset may overtake or destroy
 	// the answers before it. So the gateway ends its sending first, and closes when those have arrived.
 	lingerFor = 150 * time.Millisecond
@@ -351,14 +354,17 @@
 // acceptClients takes connections until the listener is closed or the context ends. Only so many are taken
 // ahead of the loop, which bounds the descriptors: hundreds that come at once wait in the kernel.
 func acceptClients(ctx context.Context, ln net.Listener, ahead chan<- struct{}, post func(event), log *slog.Logger) {
+	warnings := logging.Limiter{Every: time.Second}
 	for {
 		conn, err := ln.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
 		if err != nil {
-			log.Warn("accepting a connection", "err", err)
-			sleep(ctx, 10*time.Millisecond) // out of descriptors: some may be free then
+			if suppressed, ok := warnings.Allow(time.Now()); ok {
+				log.Warn("accepting a connection", "err", err, "suppressed", suppressed)
+			}
+			sleep(ctx, acceptRetry)
 			continue
 		}
 		c, err := newClient(conn)
--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -109,10 +109,13 @@
 func newWatcher(addr netip.AddrPort, post func(event), log *slog.Logger) *watcher {
 	transport := &http.Transport{DialContext: (&net.Dialer{Timeout: connectWithin}).DialContext,
 		MaxIdleConns: 1, DisableCompression: true, MaxResponseHeaderBytes: headMost}
-	return &watcher{client: &http.Client{Transport: transport}, base: "http://" + addr.String() + "/v1/servers",
+	return &watcher{client: &http.Client{Transport: transport, CheckRedirect: stay}, base: "http://" + addr.String() + "/v1/servers",
 		pause: sleep, post: post, heard: func() {}, log: log}
 }
 
+// stay refuses redirects: lists come from the configured address and from nowhere else.
+func stay(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
 // follow watches discovery at an address, and from each move on at the new one. A move calls off what waits at
 // the old address and begins with the whole list of the new one, only after the old watcher has ended: versions
 // of the two tell nothing of each other, so their changes must never be mixed. Until the new one answers, the
--- a/internal/gateway/list_test.go
+++ b/internal/gateway/list_test.go
@@ -8,6 +8,8 @@
 	"io"
 	"log/slog"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"runtime"
 	"strings"
 	"testing"
@@ -97,6 +99,20 @@
 	}
 }
 
+// A redirect is no list, and is not followed: it could lead to any address.
+func TestRedirectIsNotFollowed(t *testing.T) {
+	other := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		t.Error("the redirect was followed")
+	}))
+	defer other.Close()
+	web := httptest.NewServer(http.RedirectHandler(other.URL, http.StatusFound))
+	defer web.Close()
+	w := newWatcher(mustAddr(strings.TrimPrefix(web.URL, "http://")), nil, slog.New(slog.DiscardHandler))
+	if _, err := w.fetch(context.Background(), w.base, time.Minute); err == nil || !strings.Contains(err.Error(), "302") {
+		t.Errorf("got %v", err)
+	}
+}
+
 // A list that is too long is refused with its size and the bound, in a line of the log for each time that it begins.
 func TestLongListIsRefusedAloud(t *testing.T) {
 	blanks := strings.Repeat(" ", listMost)
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -20,6 +20,8 @@
 const (
 	peerOver = 4
 	peerSpan = time.Second
+
+	peerReadRetry = 5 * time.Millisecond // after a failed read, whose reason may stay for a while
 )
 
 // peerLink is the socket to the other gateways.
@@ -72,7 +74,8 @@
 			return
 		}
 		if err != nil {
-			log.Debug("reading from peers", "err", err) // such as a refusal by a peer that is down
+			log.Debug("reading from peers", "err", err)
+			time.Sleep(peerReadRetry)
 			continue
 		}
 		rank, ok := p.ranks[netip.AddrPortFrom(from.Addr().Unmap(), from.Port())]
