One guard for sending, repeating, closing and starting; metrics and reasons; a begun list is heard to its end

What would break a rule is held back, counted as gateway_invariant_violations_total and logged with its ids.

telemetry counts answers, refusals and failures by reason, attempts by outcome, further attempts, closes by reason, calls to discovery and failed system calls; GW_METRICS (or metrics_listen) serves them on loopback, off by default, and the last line of the log sums them up. With GW_LOG=debug each request, attempt and connection is logged with its ids, states and reasons. The module names why it refuses or fails. mayRepeatAt and the guard share Class.SameGroup.

A list of thousands of servers takes longer to read on a part of a core, and requests went to servers that were told to drain before the process began. An answer that has begun is now waited for, 2 s at most (TestStartHearsABegunAnswer).

--- a/decide/api.go
+++ b/decide/api.go
@@ -25,6 +25,17 @@
 	Safe                 // may run any number of times
 )
 
+// String is the effect's name in the settings.
+func (e Effect) String() string {
+	switch e {
+	case Safe:
+		return "safe"
+	case Keyed:
+		return "keyed"
+	}
+	return "unsafe"
+}
+
 // Group says which servers drop each other's repeats of a keyed request.
 type Group int
 
@@ -49,6 +60,17 @@
 	Stream     bool
 }
 
+// SameGroup reports whether two servers drop each other's repeats of a keyed request of the class.
+func (k *Class) SameGroup(a, b Server) bool {
+	switch k.Group {
+	case GroupAll:
+		return true
+	case GroupZone:
+		return a.Zone == b.Zone
+	}
+	return a.Cell == b.Cell
+}
+
 // Plan describes the quota of each customer on it, over all gateways together.
 type Plan struct {
 	Name         string
@@ -199,8 +221,17 @@
 	Moot
 )
 
-// neverRan reports whether the outcome proves that the attempt had no effect.
-func (o Outcome) neverRan() bool { return o == Full || o == NoConnection || o == Moot }
+// NeverRan reports whether the outcome proves that the attempt had no effect.
+func (o Outcome) NeverRan() bool { return o == Full || o == NoConnection || o == Moot }
+
+// String is the outcome's name in metrics and logs.
+func (o Outcome) String() string {
+	names := []string{"none", "ok", "error", "full", "timed_out", "no_connection", "reset", "cancelled", "moot"}
+	if o < 0 || int(o) >= len(names) {
+		return "unknown"
+	}
+	return names[o]
+}
 
 // State is what the list of servers says of one of them.
 type State int
@@ -310,6 +341,21 @@
 func (PeerMessage) event()   {}
 func (Counted) event()       {}
 
+// Reason says why a request was refused or failed, for metrics and logs.
+type Reason string
+
+// The reasons.
+const (
+	ReasonUnknown   Reason = "unknown_class_or_plan"
+	ReasonQuota     Reason = "quota"     // this gateway's bucket, cap or slice of the ceiling has no room
+	ReasonOwner     Reason = "owner"     // the quota's owner refused it
+	ReasonThrottled Reason = "throttled" // the owner refused the customer a moment ago
+	ReasonShed      Reason = "shed"      // the servers are pressed, and it is worth least
+	ReasonNoServer  Reason = "no_server" // none may be used
+	ReasonNoTime    Reason = "no_time"   // no answer could come in time
+	ReasonAttempts  Reason = "attempts"  // all attempts failed, and no further one may or can be made
+)
+
 // Action is something that a gateway wants done.
 type Action interface{ action() }
 
@@ -329,9 +375,13 @@
 	Refuse struct {
 		ID         string
 		RetryAfter time.Duration // 0: no advice
+		Reason     Reason
 	}
 	// Fail is a final answer that promises nothing.
-	Fail struct{ ID string }
+	Fail struct {
+		ID     string
+		Reason Reason
+	}
 	// SetTimer asks for a TimerFired.
 	SetTimer struct {
 		At    time.Duration
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -510,6 +510,7 @@
 	if ok {
 		r.granted = from
 	} else {
+		r.reason = ReasonOwner
 		leaks := min(1, (whole+r.units-c.plan.Burst)/max(c.plan.Rate, 1e-9))
 		c.shut = g.now + time.Duration(min(waitMost.Seconds(), max(w.v[3], leaks))*float64(time.Second))
 	}
@@ -781,7 +782,7 @@
 	}
 	k, planNo, ok := g.classes[e.Class], 0, false
 	if planNo, ok = g.plans[e.Plan]; k == nil || !ok {
-		g.do(Refuse{ID: e.ID})
+		g.do(Refuse{ID: e.ID, Reason: ReasonUnknown})
 		return
 	}
 	r := &request{Request: e, class: k, units: max(0, e.Units), until: e.Deadline}
@@ -794,13 +795,18 @@
 		c.first, c.spread = e.First%g.cfg.Gateways, e.Spread
 		c.store = min(c.store, c.plan.CeilingBurst/float64(c.spread))
 	}
-	r.cust, r.granted = c, -1
+	r.cust, r.granted, r.reason = c, -1, ReasonQuota
 	g.requests[e.ID] = r
 	switch {
 	case g.mesh:
 		g.decide(r, g.admit(c, r))
-	case c.shut > g.now || g.shed(r): // a home is not asked in vain
+	case c.shut > g.now: // a home is not asked in vain
 		c.asked.add(g.now, r.units)
+		r.reason = ReasonThrottled
+		g.decide(r, false)
+	case g.shed(r):
+		c.asked.add(g.now, r.units)
+		r.reason = ReasonShed
 		g.decide(r, false)
 	default:
 		c.asked.add(g.now, r.units)
@@ -816,13 +822,24 @@
 	if room {
 		s, cost = g.choose(r, nil)
 	}
-	if s == nil || cost > shedTo*(r.until-g.now).Seconds() || (g.mesh && g.shed(r)) {
+	reason := Reason("")
+	switch {
+	case !room:
+		reason = r.reason
+	case s == nil:
+		reason = ReasonNoServer
+	case cost > shedTo*(r.until-g.now).Seconds():
+		reason = ReasonNoTime
+	case g.mesh && g.shed(r):
+		reason = ReasonShed
+	}
+	if reason != "" {
 		r.more = -r.units
 		wait := retryAdvice
 		if !room {
 			wait = g.roomIn(r.cust, r.units)
 		}
-		g.refuse(r.ID, wait)
+		g.refuse(r.ID, reason, wait)
 		g.finish(r)
 		return
 	}
@@ -854,8 +871,8 @@
 	return g.pressed() > f || g.rng.Float64() > math.Pow(g.flow, g.thin()*g.thin()*(1+1/f)/2)
 }
 
-func (g *Gateway) refuse(id string, wait time.Duration) {
-	a := Refuse{ID: id}
+func (g *Gateway) refuse(id string, reason Reason, wait time.Duration) {
+	a := Refuse{ID: id, Reason: reason}
 	if g.cfg.Limits.RetryAfter {
 		a.RetryAfter = min(g.cfg.Limits.MaxRetryAfter, wait)
 	}
@@ -922,7 +939,7 @@
 		return
 	}
 	a.over = true
-	a.ran = !e.Outcome.neverRan()
+	a.ran = !e.Outcome.NeverRan()
 	r.out--
 	a.server.out--
 	g.all.open--
@@ -995,9 +1012,8 @@
 		if r.class.Effect == Safe || !a.ran {
 			continue
 		}
-		same := r.class.Group == GroupAll || (r.class.Group == GroupZone && s.Zone == a.server.Zone) ||
-			(r.class.Group == GroupCell && s.Cell == a.server.Cell)
-		if r.class.Effect == Unsafe || !same || g.now-a.at >= r.class.Window-aimMargin {
+		dropped := r.class.SameGroup(s.Server, a.server.Server) && g.now-a.at < r.class.Window-aimMargin
+		if r.class.Effect == Unsafe || !dropped {
 			return false
 		}
 	}
@@ -1022,9 +1038,9 @@
 	promise := r.class.Effect == Safe || !slices.ContainsFunc(r.attempts, mayRun) ||
 		(r.class.Effect == Keyed && r.class.Group == GroupAll)
 	if promise && r.out == 0 {
-		g.refuse(r.ID, retryAdvice)
+		g.refuse(r.ID, ReasonAttempts, retryAdvice)
 	} else {
-		g.do(Fail{r.ID})
+		g.do(Fail{r.ID, ReasonAttempts})
 	}
 	g.finish(r)
 }
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -319,7 +319,7 @@
 		if (len(more) == 1) != c.again {
 			t.Errorf("%s after %v: got %#v, want again=%v", c.class, c.outcome, acts, c.again)
 		}
-		if len(more) == 1 && c.class == "put" && !c.outcome.neverRan() && (more[0].Server == "s3") != (s.Server == "s3") {
+		if len(more) == 1 && c.class == "put" && !c.outcome.NeverRan() && (more[0].Server == "s3") != (s.Server == "s3") {
 			t.Errorf("%s after %v: sent to %s after %s, another cell", c.class, c.outcome, more[0].Server, s.Server)
 		}
 		r.g.budget = 0 // no further attempts: the final answer
@@ -693,7 +693,7 @@
 	end := func(id string, n int, o Outcome) {
 		f := flights[id]
 		delete(f.out, n)
-		if o.neverRan() {
+		if o.NeverRan() {
 			f.mayRun[n] = false
 		}
 		f.done = f.done || o == OK
--- a/decide/fuzz_test.go
+++ b/decide/fuzz_test.go
@@ -255,7 +255,7 @@
 	if bits&64 != 0 {
 		h.do(AnswerStarted{ID: r.ID, Server: x.server.ID, Attempt: x.n, Took: 10 * ms})
 	}
-	x.over, x.ran = true, !o.neverRan()
+	x.over, x.ran = true, !o.NeverRan()
 	r.out--
 	if o == OK && !r.gone {
 		r.answered = true // the value has gone to the client
--- a/decide/state.go
+++ b/decide/state.go
@@ -161,6 +161,7 @@
 	asking              bool
 	granted             int     // the home that let it in, or -1
 	more                float64 // units used beyond those told at first
+	reason              Reason  // why the quota has no room, if it has none
 }
 
 const beatToken = 1 // timer of the beat; tokens above it name attempts and questions
--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -5,11 +5,14 @@
 	"errors"
 	"log/slog"
 	"net"
+	"os"
 	"slices"
 	"sync/atomic"
 	"time"
 
 	"winghatch/internal/logging"
+	"winghatch/internal/platform"
+	"winghatch/internal/telemetry"
 )
 
 const (
@@ -105,15 +108,15 @@
 		l.endIfDone(c)
 	}
 	if e.fault {
-		l.after(&c.lifeline, faultWithin, func() { l.failOpen(c) })
+		l.after(&c.lifeline, faultWithin, func() { l.failOpen(c, reasonFault) })
 	}
 }
 
 // failOpen fails all requests that are open on a connection.
-func (l *loop) failOpen(c *client) {
+func (l *loop) failOpen(c *client, reason string) {
 	for _, s := range slices.Clone(c.slots) {
 		if s.req != nil {
-			l.fail(s.req)
+			l.fail(s.req, reason)
 		}
 	}
 }
@@ -121,13 +124,16 @@
 // left tells that a client closed its connection.
 type left struct{ c *client }
 
-func (e left) apply(l *loop) { l.on(&e.c.lifeline, func() { l.closeClient(e.c) }) }
+func (e left) apply(l *loop) { l.on(&e.c.lifeline, func() { l.closeClient(e.c, closeLeft) }) }
 
 // joined tells of a new connection.
 type joined struct{ c *client }
 
 func (e joined) apply(l *loop) {
 	<-l.ahead
+	if !l.ready {
+		l.guard.broken(ruleStart, "connection", e.c.id)
+	}
 	// Those that end on their own account hold a descriptor for a while longer. So room is made before the last is
 	// taken, for each newcomer anew: a crowd would else leave a usual client to chance.
 	live := 0
@@ -144,6 +150,7 @@
 		l.evictClient()
 	}
 	if l.full() {
+		l.guard.closing(e.c, closeFull)
 		e.c.advance(l, phaseClosed) // unread: the client sends what it may have written once more, elsewhere
 		return
 	}
@@ -167,7 +174,7 @@
 func (l *loop) evictClient() {
 	for c := range l.clients {
 		if c.phase == phaseLingering && c.conn.Unsent() <= finBytes {
-			l.closeClient(c)
+			l.closeClient(c, closeRoom)
 			return
 		}
 	}
@@ -211,7 +218,7 @@
 func (l *loop) wakeReader(c *client) {
 	c.rouse()
 	if err := c.conn.SetReadDeadline(time.Unix(1, 0)); err != nil {
-		l.closeClient(c) // already broken
+		l.closeClient(c, closeBroken)
 	}
 }
 
@@ -261,7 +268,7 @@
 			return // all of it is being written, in bounded pieces
 		}
 		l.log.Warn("a client is closed as answers unread by clients fill their memory", "bytes", len(most.backlog))
-		l.closeClient(most)
+		l.closeClient(most, closeMemory)
 	}
 }
 
@@ -272,7 +279,7 @@
 	}
 	n, err := c.try(c.backlog)
 	if err != nil {
-		l.closeClient(c)
+		l.closeClient(c, closeBroken)
 		return
 	}
 	if n == len(c.backlog) {
@@ -298,7 +305,7 @@
 	l.on(&e.c.lifeline, func() {
 		e.c.busy = false
 		if e.err != nil {
-			l.closeClient(e.c)
+			l.closeClient(e.c, writeFailure(e.err))
 			return
 		}
 		answers, bytes := e.c.writing, e.c.writingBytes
@@ -309,6 +316,14 @@
 	})
 }
 
+// writeFailure is why a connection is closed on which a write failed.
+func writeFailure(err error) closeReason {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return closeStalled
+	}
+	return closeBroken
+}
+
 // endIfDone ends the sending on a connection that is not read any more and on which nothing is owed.
 func (l *loop) endIfDone(c *client) {
 	if c.phase != phaseDraining || len(c.slots) > 0 || c.busy || len(c.backlog) > 0 {
@@ -316,7 +331,7 @@
 	}
 	c.advance(l, phaseLingering)
 	if c.conn.CloseWrite() != nil {
-		l.closeClient(c) // already broken
+		l.closeClient(c, closeBroken)
 		return
 	}
 	l.after(&c.lifeline, lingerFor, func() { l.endLinger(c, c.conn.Unsent(), l.clock.now()) })
@@ -329,18 +344,27 @@
 	if left < unsent {
 		progress = now
 	}
-	if left <= finBytes || now-progress >= clientWrite {
-		l.closeClient(c)
+	switch {
+	case left <= finBytes:
+		l.closeClient(c, closeDone)
+		return
+	case now-progress >= clientWrite:
+		l.closeClient(c, closeStalled)
 		return
 	}
 	l.after(&c.lifeline, lingerFor, func() { l.endLinger(c, left, progress) })
 }
 
 // closeClient ends a connection. What was open on it is over: no one waits for it any more.
-func (l *loop) closeClient(c *client) {
-	if !c.advance(l, phaseClosed) {
+func (l *loop) closeClient(c *client, reason closeReason) {
+	if c.closed() {
 		return
 	}
+	l.guard.closing(c, reason)
+	if l.traced {
+		l.log.Debug("client closed", "connection", c.id, "reason", string(reason), "owed", len(c.slots), "unread_by_it", len(c.backlog)+c.writingBytes)
+	}
+	c.advance(l, phaseClosed)
 	delete(l.clients, c)
 	for _, s := range c.slots {
 		if s.req != nil {
@@ -353,7 +377,7 @@
 
 // acceptClients takes connections until the listener is closed or the context ends. Only so many are taken
 // ahead of the loop, which bounds the descriptors: hundreds that come at once wait in the kernel.
-func acceptClients(ctx context.Context, ln net.Listener, ahead chan<- struct{}, post func(event), log *slog.Logger) {
+func acceptClients(ctx context.Context, ln net.Listener, ahead chan<- struct{}, post func(event), m *telemetry.Metrics, log *slog.Logger) {
 	warnings := logging.Limiter{Every: time.Second}
 	for {
 		conn, err := ln.Accept()
@@ -361,6 +385,7 @@
 			return
 		}
 		if err != nil {
+			m.SystemCallErrors.Inc(string(platform.CallAccept))
 			if suppressed, ok := warnings.Allow(time.Now()); ok {
 				log.Warn("accepting a connection", "err", err, "suppressed", suppressed)
 			}
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -35,7 +35,9 @@
 	Peers      []netip.AddrPort // by the gateways' numbers
 	Known      serverList       // as this gateway last had it
 	Settings   settings.Settings
-	hearFor    time.Duration // what discovery has to tell at the start is waited for so long; 0: hearFirst
+	// MetricsListen is where counters are served, on loopback only; the zero value: nowhere.
+	MetricsListen netip.AddrPort
+	hearFor       time.Duration // what discovery has to tell at the start is waited for so long; 0: hearFirst
 }
 
 // fileConfig is the form of the configuration file.
@@ -51,6 +53,7 @@
 	} `json:"limits"`
 	PeerListen string          `json:"peer_listen"`
 	Peers      []string        `json:"peers"`
+	Metrics    string          `json:"metrics_listen"`
 	Known      json.RawMessage `json:"known"`
 	Settings   json.RawMessage `json:"settings"`
 }
@@ -76,7 +79,8 @@
 	if err := json.Unmarshal(raw, &f); err != nil {
 		return Config{}, fmt.Errorf("%s: %w", path, settings.FieldOf(err))
 	}
-	for name, field := range map[string]*string{"GW_NAME": &f.Name, "GW_LISTEN": &f.Listen, "GW_DISCOVERY": &f.Discovery} {
+	for name, field := range map[string]*string{"GW_NAME": &f.Name, "GW_LISTEN": &f.Listen, "GW_DISCOVERY": &f.Discovery,
+		"GW_METRICS": &f.Metrics} {
 		if v := getenv(name); v != "" {
 			*field = v
 		}
@@ -133,6 +137,9 @@
 	if c.Discovery, err = netip.ParseAddrPort(f.Discovery); err != nil {
 		return c, fmt.Errorf("discovery: %w", err)
 	}
+	if c.MetricsListen, err = metricsAddr(f.Metrics); err != nil {
+		return c, fmt.Errorf("metrics_listen: %w", err)
+	}
 	if c.Cores <= 0 || c.MemoryMB <= 0 || c.Sockets < leastSockets {
 		return c, fmt.Errorf("limits: got %v cores, %d MB, %d sockets, want more than 0, 0 and at least %d",
 			c.Cores, c.MemoryMB, c.Sockets, leastSockets)
@@ -158,6 +165,18 @@
 	return c, f.peers(&c)
 }
 
+// metricsAddr reads where counters are served. They are for the operators of this machine, so other addresses are refused.
+func metricsAddr(text string) (netip.AddrPort, error) {
+	if text == "" {
+		return netip.AddrPort{}, nil
+	}
+	addr, err := netip.ParseAddrPort(text)
+	if err == nil && !addr.Addr().IsLoopback() {
+		err = fmt.Errorf("%s is not a loopback address", text)
+	}
+	return addr, err
+}
+
 // peers reads the addresses between gateways, which are needed only where messages are allowed.
 func (f *fileConfig) peers(c *Config) error {
 	d := c.Settings.Decide
--- a/internal/gateway/crossfire_test.go
+++ b/internal/gateway/crossfire_test.go
@@ -245,7 +245,7 @@
 	if x.l, err = newLoop(cfg, slog.New(slog.DiscardHandler)); err != nil {
 		return nil, err
 	}
-	x.l.dial, x.l.peers = x.dial, keeper{x}
+	x.l.dial, x.l.peers, x.l.ready = x.dial, keeper{x}, true
 	go func() {
 		defer func() {
 			if p := recover(); p != nil {
@@ -689,6 +689,9 @@
 		}
 	default:
 	}
+	if n := x.l.metrics.Violations.Total(); n > 0 {
+		x.fault("the gateway's own guard was needed: %s", x.l.metrics.Summary())
+	}
 	if x.hold == nil && !x.ended {
 		x.l.in.post(probe(x.bounds))
 		synctest.Wait()
--- a/internal/gateway/crossing_test.go
+++ b/internal/gateway/crossing_test.go
@@ -72,7 +72,7 @@
 			}
 		}
 		idle := len(a.server.idle)
-		l.closeClient(r.client)
+		l.closeClient(r.client, closeLeft)
 		if got := text(t, client); got != tc.want || ends != 1 || idle != tc.idle {
 			t.Errorf("%s: the client got %q, %d ends were told, %d connections are idle; want %q, 1, %d",
 				name, got, ends, idle, tc.want, tc.idle)
--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -15,12 +15,12 @@
 	"time"
 
 	"winghatch/decide"
+	"winghatch/internal/telemetry"
 	"winghatch/internal/watch"
 )
 
 const (
 	connectWithin = 500 * time.Millisecond // to discovery
-	hearFirst     = 100 * time.Millisecond // a gateway that starts waits so long for news before it takes clients in
 	listMost      = 8 << 20                // bytes of a list: about 70,000 servers
 	headMost      = 64 << 10               // bytes of an answer's head
 )
@@ -102,7 +102,8 @@
 	version uint64
 	pause   func(context.Context, time.Duration)
 	post    func(event)
-	heard   func() // discovery has answered, and what it said is posted
+	hearing hearing // is told once discovery answers
+	metrics *telemetry.Metrics
 	log     *slog.Logger
 }
 
@@ -110,7 +111,7 @@
 	transport := &http.Transport{DialContext: (&net.Dialer{Timeout: connectWithin}).DialContext,
 		MaxIdleConns: 1, DisableCompression: true, MaxResponseHeaderBytes: headMost}
 	return &watcher{client: &http.Client{Transport: transport, CheckRedirect: stay}, base: "http://" + addr.String() + "/v1/servers",
-		pause: sleep, post: post, heard: func() {}, log: log}
+		pause: sleep, post: post, hearing: newHearing(), metrics: telemetry.New(), log: log}
 }
 
 // stay refuses redirects: lists come from the configured address and from nowhere else.
@@ -123,12 +124,12 @@
 //
 // At the start the watch goes on from the list that the gateway was started with, if that is a whole one: a fleet
 // that is restarted at once would else ask for every list twice, whole and then to be watched.
-func follow(ctx context.Context, cfg Config, moves <-chan netip.AddrPort, post func(event), heard func(), log *slog.Logger) {
+func follow(ctx context.Context, cfg Config, moves <-chan netip.AddrPort, post func(event), m *telemetry.Metrics, hearing hearing, log *slog.Logger) {
 	addr, held := cfg.Discovery, cfg.Known
 	for ctx.Err() == nil {
 		at, cancel := context.WithCancel(ctx)
 		w, ended := newWatcher(addr, post, log), make(chan struct{})
-		w.agent, w.heard = !cfg.Settings.Decide.Subscribe, heard
+		w.agent, w.hearing, w.metrics = !cfg.Settings.Decide.Subscribe, hearing, m
 		w.known, w.version = held.Full && len(held.Servers) > 0, held.Version
 		held = serverList{}
 		go func() {
@@ -157,6 +158,7 @@
 			url = fmt.Sprintf("%s?after=%d&wait_ms=%d", w.base, call.After, call.Wait.Milliseconds())
 		}
 		list, err := w.fetch(ctx, url, call.Within)
+		w.metrics.DiscoveryCalls.Inc(end(err).String())
 		step := pacer.Done(time.Since(begun), watch.Result{End: end(err), Version: list.Version, Full: list.Full, Entries: len(list.Servers)})
 		err = cmp.Or(err, step.Err)
 		switch {
@@ -175,7 +177,7 @@
 			w.post(fleetNews{kind, list})
 		}
 		if step.Heard {
-			w.heard()
+			signal(w.hearing.heard)
 		}
 		if step.Pause > 0 {
 			w.pause(ctx, step.Pause)
@@ -216,6 +218,7 @@
 	defer resp.Body.Close()
 	switch resp.StatusCode {
 	case http.StatusOK:
+		signal(w.hearing.begun)
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
 		io.CopyN(io.Discard, resp.Body, headMost) // so that the connection can be used again; an error only costs that
 		return serverList{}, fmt.Errorf("%w: %s", errOverbooked, resp.Status)
--- a/internal/gateway/lifeline.go
+++ b/internal/gateway/lifeline.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"slices"
+	"sync/atomic"
 	"time"
 )
 
@@ -16,6 +17,9 @@
 	phaseClosed                 // over: nothing runs on it, and nothing of it is left in a table
 )
 
+// String is the phase's name in the log.
+func (p phase) String() string { return [...]string{"open", "draining", "lingering", "closed"}[p] }
+
 // lifeline is a connection in the loop's hands. What could still use it after its close is tied to it:
 //   - events that other goroutines posted pass loop.on, which drops those that come too late;
 //   - alarms are set by loop.after and taken back with the close;
@@ -24,6 +28,7 @@
 //   - the tables that lead to it (a client's slots, the attempt of a connection to a server, lists of idle ones) are
 //     emptied by the close, and filled only by functions that look at the phase first (place, write, park).
 type lifeline struct {
+	id     uint64 // of the connection, in the log
 	conn   link
 	phase  phase
 	busy   bool          // a goroutine is writing
@@ -32,6 +37,9 @@
 	alarms []*alarm
 }
 
+// lastConnection is the id of the latest connection.
+var lastConnection atomic.Uint64
+
 func newLifeline(conn net.Conn) (lifeline, error) {
 	c, ok := conn.(link)
 	if !ok {
@@ -41,7 +49,7 @@
 		}
 		c = s
 	}
-	return lifeline{conn: c, wake: make(chan struct{}, 1), gone: make(chan struct{})}, nil
+	return lifeline{id: lastConnection.Add(1), conn: c, wake: make(chan struct{}, 1), gone: make(chan struct{})}, nil
 }
 
 // advance moves a connection on to a phase, and reports whether it was in an earlier one. The last one ends the
@@ -51,6 +59,9 @@
 		return false
 	}
 	c.phase = to
+	if l.traced {
+		l.log.Debug("connection state", "connection", c.id, "state", to.String())
+	}
 	if to == phaseClosed {
 		c.conn.Close()
 		close(c.gone)
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -15,6 +15,7 @@
 
 	"winghatch/decide"
 	"winghatch/internal/platform"
+	"winghatch/internal/telemetry"
 )
 
 // event is something that the loop is told by another goroutine.
@@ -123,6 +124,8 @@
 	slot     *slot
 	cmd      *command
 	attempts []*attempt
+	deadline time.Duration // of the final answer; no attempt tells more
+	begun    time.Duration
 	overdue  *alarm
 	out      int // attempts that have not ended
 	done     bool
@@ -140,6 +143,9 @@
 type loop struct {
 	cfg      Config
 	log      *slog.Logger
+	traced   bool // each request and connection is logged
+	metrics  *telemetry.Metrics
+	guard    guard
 	clock    clock
 	core     *decide.Gateway
 	in       *inbox
@@ -158,6 +164,7 @@
 	unsent   int           // bytes of answers that clients have not taken
 	stopBy   time.Duration // 0, or when the last answers are due, as the gateway has been told to stop
 	closing  bool          // the listener is closed, and so are connections once nothing is owed on them
+	ready    bool          // discovery was heard, or waited for, so requests may be taken
 	accepted bool          // all connections that the listener took have been counted
 	restarts int
 	tasks    sync.WaitGroup     // the goroutines of connections
@@ -165,6 +172,22 @@
 	cancel   context.CancelFunc // of ctx
 }
 
+// Results of requests, and the reasons of refusals and failures that are not the module's.
+const (
+	resultServed    = "served"
+	resultRefused   = "refused"
+	resultFailed    = "failed"
+	resultAbandoned = "abandoned" // its client left
+
+	reasonStopping = "stopping"
+	reasonMemory   = "memory"
+	reasonOpenCap  = "open_cap"
+	reasonSameID   = "same_id"
+	reasonPanic    = "panic"
+	reasonOverdue  = "overdue"
+	reasonFault    = "client_fault" // its client sent what can't be read
+)
+
 const (
 	deadlineMargin = 10 * time.Millisecond // an answer leaves so long before the client stops waiting: it
 	// covers the way from the client, whose clock began when it sent the request, and the way back
@@ -175,7 +198,9 @@
 func newLoop(cfg Config, log *slog.Logger) (*loop, error) {
 	l := &loop{cfg: cfg, log: log, clock: newClock(), in: newInbox(), requests: map[string]*request{},
 		ids: map[string]struct{}{}, clients: map[*client]struct{}{}, limits: usualLimits,
-		ahead: make(chan struct{}, acceptAhead), dial: platform.DialTCP}
+		ahead: make(chan struct{}, acceptAhead), dial: platform.DialTCP, metrics: telemetry.New()}
+	l.traced = log.Enabled(context.Background(), slog.LevelDebug)
+	l.guard = guard{log: log, metrics: l.metrics}
 	l.ctx, l.cancel = context.WithCancel(context.Background())
 	l.pool = newPool(l, cfg)
 	if err := l.startCore(); err != nil {
@@ -209,6 +234,7 @@
 		select {
 		case <-l.in.ready:
 			batch = l.in.take(batch)
+			l.metrics.InboxEvents.Set(len(batch))
 			for i, e := range batch {
 				batch[i] = nil // what it holds can go
 				e.apply(l)
@@ -217,6 +243,18 @@
 		case <-timer.C:
 		}
 		l.ring()
+		l.measure()
+	}
+}
+
+// measure brings the gauges up to date.
+func (l *loop) measure() {
+	l.metrics.OpenRequests.Set(len(l.requests))
+	l.metrics.ClientConnections.Set(len(l.clients))
+	l.metrics.ServerConnections.Set(l.pool.conns)
+	l.metrics.UnsentBytes.Set(l.unsent)
+	if l.unsent < 0 || l.held < 0 || l.pool.conns < 0 {
+		l.guard.broken(ruleBookkeeping, "unsent", l.unsent, "held", l.held, "server_connections", l.pool.conns)
 	}
 }
 
@@ -225,12 +263,15 @@
 func (l *loop) shut() {
 	l.cancel()
 	for _, r := range l.requests {
+		if !r.done {
+			l.guard.broken(ruleOwedAnswer, "request", r.id, "reason", "end of the process")
+		}
 		for _, a := range r.attempts {
 			l.pool.giveUp(a, decide.Cancelled)
 		}
 	}
 	for c := range l.pool.all {
-		l.pool.close(c)
+		l.pool.close(c, serverShutdown)
 	}
 	l.in.close()
 	l.tasks.Wait()
@@ -304,7 +345,8 @@
 		return
 	}
 	for _, r := range l.requests {
-		l.answer(r, redcon.AppendError(nil, "ERR internal error"))
+		l.metrics.Failures.Inc(reasonPanic)
+		l.answer(r, resultFailed, reasonPanic, redcon.AppendError(nil, "ERR internal error"))
 		for _, a := range r.attempts {
 			l.pool.cancel(a)
 		}
@@ -324,11 +366,13 @@
 		}
 	case decide.Refuse:
 		if r := l.requests[a.ID]; r != nil {
-			l.answer(r, busy(a.RetryAfter))
+			l.metrics.Refusals.Inc(string(a.Reason))
+			l.answer(r, resultRefused, string(a.Reason), busy(a.RetryAfter))
 		}
 	case decide.Fail:
 		if r := l.requests[a.ID]; r != nil {
-			l.answer(r, redcon.AppendError(nil, "ERR failed"))
+			l.metrics.Failures.Inc(string(a.Reason))
+			l.answer(r, resultFailed, string(a.Reason), redcon.AppendError(nil, "ERR failed"))
 		}
 	case decide.SetTimer:
 		core := l.core
@@ -361,14 +405,16 @@
 
 // accept takes a request that has been read whole.
 func (l *loop) accept(c *client, s *slot, cmd *command) {
-	cap := l.cfg.Settings.OpenCap
-	late := l.stopBy > 0 && l.clock.now() >= l.stopBy // there is no time to send anything on before the end
-	if late || l.held+cmd.size() > l.cfg.MemoryMB<<20/heldPart || (cap > 0 && len(l.requests) >= cap) {
+	if reason := l.noRoom(cmd); reason != "" {
+		l.metrics.Answers.Inc(resultRefused)
+		l.metrics.Refusals.Inc(reason)
 		c.reply(s, busy(l.cfg.Settings.Decide.Limits.MaxRetryAfter))
 		l.flush(c)
 		return
 	}
 	if _, open := l.ids[cmd.id()]; open { // two of one id must never meet one another's answer
+		l.metrics.Answers.Inc(resultFailed)
+		l.metrics.Failures.Inc(reasonSameID)
 		c.reply(s, redcon.AppendError(nil, "ERR a request with this id is open"))
 		l.flush(c)
 		return
@@ -384,11 +430,30 @@
 		deadline = min(deadline, l.stopBy)
 	}
 	r.overdue = l.at(deadline+overdueAfter, func() { l.overdue(r) })
+	r.deadline, r.begun = deadline, l.clock.now()
+	if l.traced {
+		l.log.Debug("request taken", "request", r.id, "client_id", cmd.id(), "connection", c.id, "class", cmd.req.Class,
+			"left", deadline-r.begun, "waited", r.begun-cmd.came)
+	}
 	ev := cmd.req
 	ev.ID, ev.Deadline = r.id, deadline
 	l.feed(ev)
 }
 
+// noRoom is the reason why this gateway can't take a request at all, or empty.
+func (l *loop) noRoom(cmd *command) string {
+	open := l.cfg.Settings.OpenCap
+	switch {
+	case l.stopBy > 0 && l.clock.now() >= l.stopBy: // there is no time to send anything on before the end
+		return reasonStopping
+	case l.held+cmd.size() > l.cfg.MemoryMB<<20/heldPart:
+		return reasonMemory
+	case open > 0 && len(l.requests) >= open:
+		return reasonOpenCap
+	}
+	return ""
+}
+
 // overdue fails a request that the module has not ended in time. The client must get its one answer before
 // it stops waiting, whatever became of the request.
 func (l *loop) overdue(r *request) {
@@ -396,22 +461,26 @@
 		return
 	}
 	l.log.Error("a request was left open past its deadline", "class", r.cmd.req.Class, "attempts", len(r.attempts))
-	l.fail(r)
+	l.fail(r, reasonOverdue)
 }
 
 // fail ends a request without the module's word.
-func (l *loop) fail(r *request) {
-	l.answer(r, redcon.AppendError(nil, "ERR failed"))
+func (l *loop) fail(r *request, reason string) {
+	l.metrics.Failures.Inc(reason)
+	l.answer(r, resultFailed, reason, redcon.AppendError(nil, "ERR failed"))
 	l.feed(decide.ClientGone{ID: r.id})
 }
 
 // answer gives a request its final answer, once.
-func (l *loop) answer(r *request, reply []byte) {
+func (l *loop) answer(r *request, result, reason string, reply []byte) {
 	if r.done {
 		return
 	}
 	s := r.slot
-	l.end(r)
+	l.end(r, result, reason)
+	if !l.guard.answer(s, r) {
+		return
+	}
 	r.client.reply(s, reply)
 	l.flush(r.client)
 }
@@ -421,11 +490,16 @@
 	if r.done {
 		return
 	}
-	l.end(r)
+	l.end(r, resultAbandoned, "")
 	l.feed(decide.ClientGone{ID: r.id})
 }
 
-func (l *loop) end(r *request) {
+func (l *loop) end(r *request, result, reason string) {
+	l.metrics.Answers.Inc(result)
+	if l.traced {
+		l.log.Debug("request ended", "request", r.id, "client_id", r.cmd.id(), "result", result, "reason", reason,
+			"attempts", len(r.attempts), "out", r.out, "took", l.clock.now()-r.begun)
+	}
 	r.done = true
 	r.slot.req = nil
 	l.held -= r.cmd.size()
@@ -448,11 +522,20 @@
 		return
 	}
 	now := l.clock.now()
-	a := &attempt{req: r, n: len(r.attempts), at: now, until: now + s.Timeout, before: s.Before,
+	a := &attempt{req: r, n: len(r.attempts), at: now, until: min(now+s.Timeout, r.deadline), before: s.Before,
 		server: l.pool.servers[s.Server]}
+	if a.server != nil {
+		a.place = a.server.entry
+	}
 	r.attempts = append(r.attempts, a)
 	r.out++
-	if r.done {
+	if a.n > 0 {
+		l.metrics.FurtherAttempts.Inc(l.cfg.class(r.cmd.req.Class).Effect.String())
+	}
+	if l.traced {
+		l.log.Debug("attempt", "request", r.id, "attempt", a.n, "server", s.Server, "left", a.until-now)
+	}
+	if r.done || a.until <= now { // this gateway was held up, and there is no time left
 		l.ended(a, decide.Moot)
 		return
 	}
@@ -465,7 +548,11 @@
 	if a.over {
 		return
 	}
-	a.over = true
+	a.over, a.outcome = true, o
+	l.metrics.Attempts.Inc(o.String())
+	if l.traced {
+		l.log.Debug("attempt ended", "request", a.req.id, "attempt", a.n, "outcome", o.String(), "took", l.clock.now()-a.at)
+	}
 	l.unset(a.expiry)
 	r := a.req
 	r.out--
@@ -479,7 +566,7 @@
 
 // served passes a value on and ends its attempt.
 func (l *loop) served(a *attempt, value []byte) {
-	l.answer(a.req, value)
+	l.answer(a.req, resultServed, "", value)
 	l.ended(a, decide.OK)
 }
 
--- a/internal/gateway/loop_test.go
+++ b/internal/gateway/loop_test.go
@@ -21,7 +21,7 @@
 	t.Cleanup(func() {
 		for c := range l.clients {
 			if c.conn != nil { // else it only fills the table
-				l.closeClient(c)
+				l.closeClient(c, closeLeft)
 			}
 		}
 		l.shut()
@@ -96,7 +96,7 @@
 	for name, meanwhile := range map[string]func(l *loop, r *request){
 		"cancelled": func(l *loop, r *request) { l.pool.cancel(r.attempts[0]) },
 		"timed out": func(l *loop, r *request) { l.pool.expire(r.attempts[0]) },
-		"left":      func(l *loop, r *request) { l.closeClient(r.client) },
+		"left":      func(l *loop, r *request) { l.closeClient(r.client, closeLeft) },
 		"no repeat": func(l *loop, r *request) { r.attempts[0].before = l.clock.now() - 1 }, // for servers, any more
 		"draining": func(l *loop, r *request) {
 			l.fleet(decide.FleetDelta, serverList{Version: 2, Servers: []serverEntry{{ID: "s-0", Addr: r.attempts[0].server.addr, State: "draining"}}})
@@ -144,7 +144,7 @@
 		t.Errorf("%d requests are open, new module %v", len(l.requests), l.core != broken)
 	}
 	for c := range l.clients {
-		l.closeClient(c)
+		l.closeClient(c, closeLeft)
 	}
 	if got := text(t, far); got != "-ERR internal error\r\n" {
 		t.Errorf("the client got %q", got)
@@ -163,7 +163,7 @@
 	l.overdue(r)
 	l.overdue(r)
 	l.drainTodo()
-	l.closeClient(c)
+	l.closeClient(c, closeLeft)
 	if got := text(t, far); got != "-ERR failed\r\n" {
 		t.Errorf("the client got %q", got)
 	}
--- a/internal/gateway/rig_test.go
+++ b/internal/gateway/rig_test.go
@@ -284,6 +284,7 @@
 
 // join gives the loop a new connection, as the listener does.
 func join(l *loop, c *client) {
+	l.ready = true
 	l.ahead <- struct{}{}
 	joined{c}.apply(l)
 }
--- a/internal/gateway/rude_test.go
+++ b/internal/gateway/rude_test.go
@@ -234,7 +234,7 @@
 			timers++
 		}
 	}
-	l.closeClient(r.client)
+	l.closeClient(r.client, closeLeft)
 	l.drainTodo()
 	if len(l.alarms) != before+timers || len(l.requests) != 0 || len(l.ids) != 0 {
 		t.Errorf("%d alarms, want %d; %d requests, %d ids", len(l.alarms), before+timers, len(l.requests), len(l.ids))
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -64,23 +64,17 @@
 			return err
 		}
 	}
-	heard := make(chan struct{}, 1)
-	wg.Go(func() {
-		follow(inner, cfg, moves, l.in.post, func() {
-			select {
-			case heard <- struct{}{}:
-			default:
-			}
-		}, log)
-	})
+	if cfg.MetricsListen.IsValid() {
+		wg.Go(func() { serveMetrics(inner, cfg.MetricsListen, l.metrics, log) })
+	}
+	hearing := newHearing()
+	wg.Go(func() { follow(inner, cfg, moves, l.in.post, l.metrics, hearing, log) })
 	wg.Go(func() {
 		// The list that the gateway was started with may be old. What discovery has told since counts from the first
 		// moment, so it is heard before the first request is taken, or nothing new if it has nothing to say.
-		select {
-		case <-heard:
-		case <-time.After(cmp.Or(cfg.hearFor, hearFirst)):
-		}
-		acceptClients(inner, ln, l.ahead, l.in.post, log)
+		hearing.await(cmp.Or(cfg.hearFor, hearFirst), hearWhole)
+		l.in.post(ready{})
+		acceptClients(inner, ln, l.ahead, l.in.post, l.metrics, log)
 		l.in.post(acceptEnded{}) // behind all connections that it took
 	})
 	wg.Go(func() {
@@ -92,12 +86,18 @@
 	})
 	l.run()
 	l.shut()
+	log.Info("counted", "metrics", l.metrics.Summary())
 	if err := ln.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
 		return fmt.Errorf("closing the listener: %w", err)
 	}
 	return nil
 }
 
+// ready tells that requests may be taken from now on.
+type ready struct{}
+
+func (ready) apply(l *loop) { l.ready = true }
+
 // stop begins the end of the gateway.
 type stop struct{ ln net.Listener }
 
@@ -132,7 +132,7 @@
 func (l *loop) stopAll() {
 	l.closing = true
 	for c := range l.clients {
-		l.failOpen(c)
+		l.failOpen(c, reasonStopping)
 		l.wean(c)
 	}
 	l.at(l.clock.now()+stopLast, func() {
@@ -143,7 +143,7 @@
 	})
 	l.at(l.clock.now()+stopLongest, func() {
 		for c := range l.clients {
-			l.closeClient(c)
+			l.closeClient(c, closeShutdown)
 		}
 	})
 }
--- a/internal/gateway/slow_test.go
+++ b/internal/gateway/slow_test.go
@@ -150,7 +150,7 @@
 		second.args = append([][]byte{}, first.cmd.args...)
 		second.args[idArg] = []byte("id-2")
 		commands{c: c, got: []received{{cmd: &second}}}.apply(l)
-		l.closeClient(c)
+		l.closeClient(c, closeLeft)
 		if got := text(t, far); got != "-BUSY 1000\r\n" {
 			t.Errorf("%s: got %q, want a refusal", name, got)
 		}
--- a/internal/gateway/spoilt_test.go
+++ b/internal/gateway/spoilt_test.go
@@ -112,7 +112,7 @@
 	if !c.closed() || second.conn != nil {
 		t.Error("the request went out on a connection that is out of step")
 	}
-	l.closeClient(a.req.client)
+	l.closeClient(a.req.client, closeLeft)
 	if got := text(t, client); got != "$5\r\nfirst\r\n" {
 		t.Errorf("the client got %q", got)
 	}
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -35,6 +35,20 @@
 	dialRetry    = 10 * time.Millisecond
 )
 
+// serverCloseReason says why a connection to a server was closed.
+type serverCloseReason string
+
+// The reasons.
+const (
+	serverReplaced  serverCloseReason = "replaced"    // the server drains, is gone or has moved
+	serverRoom      serverCloseReason = "room"        // another one needed its descriptor
+	serverIdle      serverCloseReason = "idle"        // nothing used it for long
+	serverOutOfStep serverCloseReason = "out_of_step" // something came unasked, or not all of an answer was read
+	serverBroken    serverCloseReason = "broken"
+	serverGivenUp   serverCloseReason = "given_up" // its attempt was called off or timed out
+	serverShutdown  serverCloseReason = "shutdown"
+)
+
 // upstream is one server.
 type upstream struct {
 	id    string
@@ -62,7 +76,9 @@
 type attempt struct {
 	req       *request
 	n         int
-	server    *upstream // nil: unknown to this gateway
+	server    *upstream      // nil: unknown to this gateway
+	place     decide.Server  // its server's entry as the attempt began
+	outcome   decide.Outcome // once it is over
 	at, until time.Duration
 	before    time.Duration // nothing of it may be written later, if not 0
 	conn      *upConn       // nil until it has one
@@ -127,7 +143,7 @@
 
 func (p *pool) closeIdle(s *upstream) {
 	for len(s.idle) > 0 {
-		p.close(s.idle[len(s.idle)-1])
+		p.close(s.idle[len(s.idle)-1], serverReplaced)
 	}
 }
 
@@ -148,6 +164,10 @@
 		p.l.ended(a, decide.NoConnection)
 		return
 	}
+	if a.before > 0 && p.l.clock.now() > a.before {
+		p.l.ended(a, decide.NoConnection)
+		return
+	}
 	for c := p.rested(s); c != nil; c = p.rested(s) {
 		if p.write(c, a) {
 			return
@@ -189,7 +209,7 @@
 		}
 	}
 	if oldest != nil {
-		p.close(oldest)
+		p.close(oldest, serverRoom)
 	}
 }
 
@@ -238,6 +258,9 @@
 		}
 	}
 	if d.err != nil {
+		if platform.IsTransient(d.err) {
+			p.l.metrics.SystemCallErrors.Inc(string(platform.CallConnect))
+		}
 		p.dropped(s)
 		p.l.ended(a, dialOutcome(d.err))
 		return
@@ -245,7 +268,7 @@
 	p.all[c] = struct{}{}
 	p.l.tasks.Go(func() { c.read(p.l.in.post) })
 	if s.entry.State != decide.Serving || s.addr != d.addr {
-		p.close(c)
+		p.close(c, serverReplaced)
 		p.l.ended(a, decide.NoConnection)
 		return
 	}
@@ -293,13 +316,18 @@
 // of step, or at its end, and takes nothing.
 func (p *pool) write(c *upConn, a *attempt) bool {
 	if !c.conn.Quiet() {
-		p.close(c)
+		p.close(c, serverOutOfStep)
 		return false
 	}
+	if !p.l.guard.begin(p.l, c, a) {
+		p.l.ended(a, decide.Moot)
+		p.park(c)
+		return true
+	}
 	b := a.req.cmd.frame(a.until - p.l.clock.now())
 	n, err := c.try(b)
 	if err != nil {
-		p.close(c)
+		p.close(c, serverBroken)
 		if n > 0 {
 			p.l.ended(a, decide.NoConnection) // broken before the last byte
 		}
@@ -341,7 +369,7 @@
 	if s.err == nil && !s.c.closed() {
 		return
 	}
-	l.pool.close(s.c)
+	l.pool.close(s.c, serverBroken)
 	l.pool.broken(s.a)
 }
 
@@ -357,7 +385,7 @@
 // park keeps a connection for the next attempt.
 func (p *pool) park(c *upConn) {
 	if c.closed() || c.busy {
-		p.close(c)
+		p.close(c, serverOutOfStep)
 		return
 	}
 	c.used = p.l.clock.now()
@@ -375,7 +403,7 @@
 	next := time.Duration(0)
 	for _, s := range p.servers {
 		for len(s.idle) > 0 && s.idle[0].used+p.idleFor <= now {
-			p.close(s.idle[0])
+			p.close(s.idle[0], serverIdle)
 		}
 		if len(s.idle) > 0 && (next == 0 || s.idle[0].used < next) {
 			next = s.idle[0].used
@@ -386,10 +414,11 @@
 	}
 }
 
-func (p *pool) close(c *upConn) {
+func (p *pool) close(c *upConn, reason serverCloseReason) {
 	if !c.advance(p.l, phaseClosed) {
 		return
 	}
+	p.l.metrics.ServerCloses.Inc(string(reason))
 	delete(p.all, c)
 	if i := slices.Index(c.server.idle, c); i >= 0 {
 		c.server.idle = slices.Delete(c.server.idle, i, i+1)
@@ -425,7 +454,7 @@
 		return
 	}
 	if a.conn != nil {
-		p.close(a.conn) // an answer is owed on it, so it can't be used again
+		p.close(a.conn, serverGivenUp) // an answer is owed on it, so it can't be used again
 	}
 	p.l.ended(a, o)
 }
@@ -446,7 +475,7 @@
 	}
 	c.att = nil
 	if !e.inStep || c.server.entry.State != decide.Serving {
-		l.pool.close(c)
+		l.pool.close(c, serverOutOfStep)
 	} else {
 		l.pool.park(c)
 	}
@@ -467,7 +496,7 @@
 
 func (p *pool) broke(e broke) {
 	c, a, l := e.c, e.c.att, p.l
-	l.pool.close(c)
+	l.pool.close(c, serverBroken)
 	switch {
 	case a == nil || c.busy: // the writer still has to tell whether it had written the last byte
 	case e.spoilt && a.whole:
--- a/internal/gateway/watch_test.go
+++ b/internal/gateway/watch_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"log/slog"
 	"net"
 	"net/http"
@@ -155,3 +156,61 @@
 		t.Error(err)
 	}
 }
+
+// Discovery that has begun to answer is heard to the end before the first request is taken, also where that takes longer than
+// a silent one is waited for: a long list on a busy machine.
+func TestStartHearsABegunAnswer(t *testing.T) {
+	b := newBackend(t)
+	cfg := testConfig(t, long, entries("up", b))
+	cfg.hearFor = 200 * time.Millisecond
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	web := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		if req.URL.Query().Get("after") != "1" {
+			<-req.Context().Done() // the watch that goes on
+			return
+		}
+		fmt.Fprint(w, `{"version":2,"full":false,`)
+		http.NewResponseController(w).Flush()
+		time.Sleep(3 * cfg.hearFor)
+		rest, err := json.Marshal(entries("draining", b))
+		if err != nil {
+			t.Error(err)
+		}
+		fmt.Fprintf(w, `"servers":%s}`, rest)
+	}))
+	t.Cleanup(func() {
+		web.CloseClientConnections()
+		web.Close()
+	})
+	cfg.Discovery = mustAddr(strings.TrimPrefix(web.URL, "http://"))
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	conn, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	if _, err := conn.Write([]byte(asked("id"))); err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- serve(ctx, cfg, nil, ln, slog.New(slog.DiscardHandler)) }()
+	if err := conn.SetDeadline(time.Now().Add(patience)); err != nil {
+		t.Fatal(err)
+	}
+	reply := make([]byte, 64)
+	n, err := conn.Read(reply)
+	if got := string(reply[:n]); !strings.HasPrefix(got, "-BUSY") || err != nil {
+		t.Errorf("got %q, %v; the only server drains", got, err)
+	}
+	if len(b.got) > 0 {
+		t.Error("a server that drains got a request")
+	}
+	cancel()
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/watch/pacer.go
+++ b/internal/watch/pacer.go
@@ -110,6 +110,9 @@
 	TimedOut            // no answer within the call's time, or no connection
 )
 
+// String is the end's name in metrics.
+func (e End) String() string { return [...]string{"answered", "refused", "failed", "timed_out"}[e] }
+
 // Result tells how a call ended. Version, Full and Entries are those of an answer.
 type Result struct {
 	End     End
