An answer that overtakes its writer's report is its request's answer; nothing begins once its time is over

If the answer was posted first, a.whole was still false, the answer was thrown away and the request ended as reset: one that must not run twice failed though it was served. The reader now notes whether the answer began behind the last byte. Without that TestAnswerOvertakesTheWritersReport gets 'served 0, the attempt ended as reset'. An answer that begins before the last byte is still none (TestAnswerBeforeTheRequestIsWhole).

Related: a connection that came up after its attempt's time, while the loop was held up, carried a request with d=1 that nobody could wait for; tooLate ends it, as it does a repeat after its window. TestLocalFaultsBlameNobody gives its attempt a time.

--- a/internal/gateway/crossing_test.go
+++ b/internal/gateway/crossing_test.go
@@ -14,7 +14,7 @@
 	l := still(t, unreachable(t))
 	a, _, far := attempted(t, l)
 	c := a.conn
-	answered{c, answer{decide.OK, []byte("$1\r\nv\r\n"), true}}.apply(l)
+	answered{c: c, answer: answer{decide.OK, []byte("$1\r\nv\r\n"), true}}.apply(l)
 	if _, err := io.ReadAtLeast(far, make([]byte, 1<<10), 1); err != nil {
 		t.Fatal(err)
 	}
@@ -60,9 +60,9 @@
 		r, c := a.req, a.conn
 		if tc.timeOutFirst {
 			l.pool.expire(a)
-			answered{c, value}.apply(l)
+			answered{c: c, answer: value}.apply(l)
 		} else {
-			answered{c, value}.apply(l)
+			answered{c: c, answer: value}.apply(l)
 			l.pool.expire(a)
 		}
 		ends := 0
--- a/internal/gateway/loop_test.go
+++ b/internal/gateway/loop_test.go
@@ -181,7 +181,7 @@
 	a := r.attempts[0]
 	near, far := pair(t)
 	dialed{a, a.server.addr, near, nil}.apply(l)
-	answered{a.conn, answer{decide.OK, []byte("$1\r\nv\r\n"), true}}.apply(l)
+	answered{c: a.conn, answer: answer{decide.OK, []byte("$1\r\nv\r\n"), true}}.apply(l)
 	if len(a.server.idle) != 1 {
 		t.Fatalf("%d connections are idle, want 1", len(a.server.idle))
 	}
@@ -204,8 +204,8 @@
 	near, far := pair(t)
 	dialed{a, a.server.addr, near, nil}.apply(l)
 	c := a.conn
-	answered{c, answer{decide.OK, []byte("$1\r\nv\r\n"), true}}.apply(l)
-	answered{c, answer{decide.OK, []byte("$1\r\nw\r\n"), true}}.apply(l)
+	answered{c: c, answer: answer{decide.OK, []byte("$1\r\nv\r\n"), true}}.apply(l)
+	answered{c: c, answer: answer{decide.OK, []byte("$1\r\nw\r\n"), true}}.apply(l)
 	text(t, far)
 	if len(a.server.idle) != 0 {
 		t.Error("the connection is kept")
@@ -219,7 +219,7 @@
 	a := r.attempts[0]
 	near, far := pair(t)
 	dialed{a, a.server.addr, near, nil}.apply(l)
-	answered{a.conn, answer{decide.OK, []byte("$1\r\nv\r\n"), false}}.apply(l)
+	answered{c: a.conn, answer: answer{decide.OK, []byte("$1\r\nv\r\n"), false}}.apply(l)
 	text(t, far)
 	if len(a.server.idle) != 0 || l.pool.conns != 0 {
 		t.Error("the connection is kept")
--- a/internal/gateway/slow_test.go
+++ b/internal/gateway/slow_test.go
@@ -258,3 +258,29 @@
 		}
 	}
 }
+
+// An answer may be handed to the loop before the report that its request was written whole: both come from goroutines of
+// their own. It is the request's answer all the same.
+func TestAnswerOvertakesTheWritersReport(t *testing.T) {
+	l, a, far := large(t)
+	go io.Copy(io.Discard, far)
+	var late []event
+	for c := a.conn; !c.wrote.Load() || len(late) == 0; {
+		late = append(late, next(t, l)) // the report
+	}
+	if _, err := io.WriteString(far, served("v")); err != nil {
+		t.Fatal(err)
+	}
+	e, ok := next(t, l).(answered)
+	if !ok || !e.behind {
+		t.Fatalf("got %+v", e)
+	}
+	client := a.req.client
+	e.apply(l)
+	for _, e := range late {
+		e.apply(l)
+	}
+	if got := l.metrics.Answers.Of(resultServed); got != 1 || a.outcome != decide.OK || len(client.slots) > 0 {
+		t.Errorf("served %d, the attempt ended as %v", got, a.outcome)
+	}
+}
--- a/internal/gateway/spoilt_test.go
+++ b/internal/gateway/spoilt_test.go
@@ -163,7 +163,7 @@
 		t.Errorf("no descriptor: outcome %v", o)
 	}
 	l.pool.conns = l.pool.most
-	b := &attempt{req: &request{id: "r"}, server: a.server}
+	b := &attempt{req: &request{id: "r"}, server: a.server, until: l.clock.now() + long}
 	l.pool.start(b)
 	if o := outcome(t, l); o != decide.Moot {
 		t.Errorf("full pool: outcome %v", o)
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"winghatch/decide"
@@ -65,6 +66,7 @@
 	server *upstream
 	att    *attempt // whose answer is owed
 	used   time.Duration
+	wrote  atomic.Bool // the last byte of the latest request was written
 }
 
 func newUpConn(conn net.Conn, s *upstream, now time.Duration) (*upConn, error) {
@@ -164,7 +166,7 @@
 		p.l.ended(a, decide.NoConnection)
 		return
 	}
-	if a.before > 0 && p.l.clock.now() > a.before {
+	if p.tooLate(a) {
 		p.l.ended(a, decide.NoConnection)
 		return
 	}
@@ -277,7 +279,7 @@
 		p.park(c)
 		return
 	}
-	if a.before > 0 && p.l.clock.now() > a.before {
+	if p.tooLate(a) {
 		p.l.ended(a, decide.NoConnection)
 		p.park(c)
 		return
@@ -287,6 +289,13 @@
 	}
 }
 
+// tooLate reports whether an attempt must not begin any more: no answer could come in time, or it is a repeat and servers would
+// no longer know it for one. The loop may get to it late.
+func (p *pool) tooLate(a *attempt) bool {
+	now := p.l.clock.now()
+	return now >= a.until || a.before > 0 && now > a.before
+}
+
 // dialOutcome is how an attempt ends whose connection was not made. A server must not be held to be bad for what this
 // machine lacks. Where there is no way to it, and not for a moment only, it is as good as down for this gateway.
 func dialOutcome(err error) decide.Outcome {
@@ -334,12 +343,16 @@
 		return n > 0
 	}
 	c.att, a.conn, c.used = a, c, p.l.clock.now()
+	c.wrote.Store(n == len(b))
 	c.rouse()
 	if n == len(b) {
 		a.whole = true
 		return true
 	}
-	c.finish(p.l, b[n:], writeLimit{total: p.lastByteWithin(a)}, func(err error) event { return sent{c, a, err} })
+	c.finish(p.l, b[n:], writeLimit{total: p.lastByteWithin(a)}, func(err error) event {
+		c.wrote.Store(err == nil)
+		return sent{c, a, err}
+	})
 	return true
 }
 
@@ -463,12 +476,16 @@
 type answered struct {
 	c *upConn
 	answer
+	behind bool // it began behind the request's last byte
 }
 
 func (e answered) apply(l *loop) { l.on(&e.c.lifeline, func() { l.pool.answered(e) }) }
 
 func (p *pool) answered(e answered) {
 	c, a, l := e.c, e.c.att, p.l
+	if a != nil && e.behind {
+		a.whole = true // the answer has overtaken the writer's report
+	}
 	if a == nil || !a.whole { // nobody asked, or not all of it: what a server says to that is no answer
 		p.broke(broke{c: c})
 		return
@@ -517,12 +534,12 @@
 		case <-c.gone:
 			return
 		}
-		a, err := c.readAnswer(&buf)
+		a, behind, err := c.readAnswer(&buf)
 		if err != nil {
 			post(broke{c, errors.Is(err, errSpoilt)})
 			return
 		}
-		post(answered{c, a})
+		post(answered{c, a, behind})
 		if !a.inStep {
 			return // the loop closes it
 		}
@@ -532,31 +549,35 @@
 	}
 }
 
-func (c *upConn) readAnswer(buf *[]byte) (answer, error) {
+// readAnswer reads one answer, and tells whether it began behind the request's last byte.
+func (c *upConn) readAnswer(buf *[]byte) (_ answer, behind bool, _ error) {
 	b := *buf
 	for begun := false; ; {
 		if len(b) == cap(b) {
 			b = slices.Grow(b, cap(b))
 		}
 		n, err := c.conn.Read(b[len(b):cap(b)])
+		if len(b) == 0 {
+			behind = c.wrote.Load()
+		}
 		b = b[:len(b)+n]
 		*buf = b
 		a, used, fault := parseAnswer(b)
 		switch {
 		case fault != nil, errors.Is(err, os.ErrDeadlineExceeded):
-			return a, errSpoilt
+			return a, behind, errSpoilt
 		case used > 0:
 			a.value, a.inStep = bytes.Clone(a.value), a.inStep && used == len(b) && err == nil
 			if begun {
 				err = c.conn.SetReadDeadline(time.Time{})
 			}
-			return a, err
+			return a, behind, err
 		case err != nil:
-			return a, err
+			return a, behind, err
 		case !begun:
 			begun = true
 			if err := c.conn.SetReadDeadline(time.Now().Add(answerWithin)); err != nil {
-				return a, err
+				return a, behind, err
 			}
 		}
 	}
