A request that was sent while accept failed has no more time than its client has left

Found by reading, as a related path of the pipelined deadline: arrivals counts from when a connection was accepted, but accept may fail for a moment (ENFILE, ENOBUFS) or wait until the loop has counted those before, while clients connect and write. All their requests got the wait on top. acceptQueue takes the beginning of such a time for connections that stood in the queue, until an accept waits again. The acceptor has a file of its own; the soak now lets accept fail without exception, too.

--- a/internal/faultsoak/trouble.go
+++ b/internal/faultsoak/trouble.go
@@ -302,7 +302,7 @@
 	brief(platform.CallListen, 1, syscall.ENFILE, syscall.EMFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRINUSE)
 	brief(platform.CallListenPacket, 1, syscall.ENFILE, syscall.ENOBUFS, syscall.EADDRNOTAVAIL)
 	brief(platform.CallReadFile, 1, syscall.EIO, syscall.ENFILE, syscall.EINTR)
-	brief(platform.CallAccept, 0.5, syscall.ECONNABORTED, syscall.ENFILE, syscall.EMFILE, syscall.ENOBUFS)
+	brief(platform.CallAccept, []float64{0.5, 1}[f.rng.intN(2)], syscall.ECONNABORTED, syscall.ENFILE, syscall.EMFILE, syscall.ENOBUFS)
 	brief(platform.CallConnect, 0.5, syscall.ENFILE, syscall.ENOBUFS, syscall.EADDRNOTAVAIL, syscall.ENETUNREACH, syscall.EAGAIN)
 	brief(platform.CallWrite, 0.3, syscall.EINTR, syscall.EAGAIN, syscall.ENOBUFS, syscall.ENOMEM)
 	brief(platform.CallRead, 0.2, syscall.ENOBUFS, syscall.ENOMEM)
--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -1,18 +1,12 @@
 package gateway
 
 import (
-	"context"
 	"errors"
-	"log/slog"
 	"net"
 	"os"
 	"slices"
 	"sync/atomic"
 	"time"
-
-	"winghatch/internal/logging"
-	"winghatch/internal/platform"
-	"winghatch/internal/telemetry"
 )
 
 const (
@@ -23,8 +17,6 @@
 	// Whoever sends what can't be read is owed an error within 3 s. Requests before it are owed their answers, and those
 	// that are still open after this are failed, so that the error can follow.
 	faultWithin = 2 * time.Second
-	acceptRetry = 10 * time.Millisecond // after a failure: the machine may have then what it lacked
-	acceptAhead = 16                    // connections that may be taken before the loop has counted them
 	// A connection on which a command waits unread is reset as it is closed, and the reset may overtake or destroy
 	// the answers before it. So the gateway ends its sending first, and closes when those have arrived.
 	lingerFor = 150 * time.Millisecond
@@ -374,36 +366,3 @@
 	l.unsent -= len(c.backlog) + c.writingBytes
 	c.slots, c.backlog, c.writingBytes = nil, nil, 0
 }
-
-// acceptClients takes connections until the listener is closed or the context ends. Only so many are taken
-// ahead of the loop, which bounds the descriptors: hundreds that come at once wait in the kernel.
-func acceptClients(ctx context.Context, ln net.Listener, ahead chan<- struct{}, post func(event), m *telemetry.Metrics, log *slog.Logger) {
-	warnings := logging.Limiter{Every: time.Second}
-	for {
-		conn, err := ln.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
-		if err != nil {
-			m.SystemCallErrors.Inc(string(platform.CallAccept))
-			if suppressed, ok := warnings.Allow(time.Now()); ok {
-				log.Warn("accepting a connection", "err", err, "suppressed", suppressed)
-			}
-			sleep(ctx, acceptRetry)
-			continue
-		}
-		c, err := newClient(conn)
-		if err != nil {
-			log.Error("accepting a connection", "err", err)
-			conn.Close()
-			continue
-		}
-		select {
-		case ahead <- struct{}{}:
-			post(joined{c})
-		case <-ctx.Done():
-			conn.Close()
-			return
-		}
-	}
-}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -74,7 +74,7 @@
 		// moment, so it is heard before the first request is taken, or nothing new if it has nothing to say.
 		hearing.await(cmp.Or(cfg.hearFor, hearFirst), hearWhole)
 		l.in.post(ready{})
-		acceptClients(inner, ln, l.ahead, l.in.post, l.metrics, log)
+		acceptor{ln: ln, ahead: l.ahead, post: l.in.post, metrics: l.metrics, log: log}.run(inner)
 		l.in.post(acceptEnded{}) // behind all connections that it took
 	})
 	wg.Go(func() {
