The loop does not wait for room in the peers' socket

Found by reading: WriteToUDPAddrPort waits while the socket's send buffer is full, and the loop calls it; a network device that stands still would have held up every client. Messages are now sent with MSG_DONTWAIT and dropped where there is no room, as any datagram may be. Not reproduced: on loopback the kernel drops at the receiver first.

--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -6,8 +6,11 @@
 	"log/slog"
 	"net"
 	"net/netip"
+	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"winghatch/internal/platform"
 
 	"winghatch/decide"
@@ -27,6 +30,8 @@
 // peerLink is the socket to the other gateways.
 type peerLink struct {
 	conn  *net.UDPConn
+	raw   syscall.RawConn
+	ipv4  bool // the socket's family
 	addrs []netip.AddrPort
 	ranks map[netip.AddrPort]int
 	most  int // messages in a span; 0: no limit
@@ -45,24 +50,44 @@
 	if err != nil {
 		return nil, fmt.Errorf("listening for peers: %w", err)
 	}
-	p := &peerLink{conn: conn, addrs: addrs, ranks: map[netip.AddrPort]int{}}
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		conn.Close()
+		return nil, fmt.Errorf("reaching the descriptor: %w", err)
+	}
+	p := &peerLink{conn: conn, raw: raw, ipv4: listen.Addr().Unmap().Is4(), addrs: addrs, ranks: map[netip.AddrPort]int{}}
 	for i, a := range addrs {
 		p.ranks[a] = i
 	}
 	return p, nil
 }
 
-// tell sends a message to a gateway by its number. It may be lost, as any datagram.
+// tell sends a message to a gateway by its number. It may be lost, as any datagram; the loop calls it, so where the socket's
+// buffer is full it is dropped and not waited for.
 func (p *peerLink) tell(to int, text string) error {
 	if to < 0 || to >= len(p.addrs) || len(text) > datagramMost {
 		return fmt.Errorf("message of %d bytes to gateway %d can't be sent", len(text), to)
 	}
-	if _, err := p.conn.WriteToUDPAddrPort([]byte(text), p.addrs[to]); err != nil {
+	var sendErr error
+	err := p.raw.Write(func(fd uintptr) bool {
+		sendErr = unix.Sendto(int(fd), []byte(text), unix.MSG_DONTWAIT, p.sockaddr(p.addrs[to]))
+		return true // never wait
+	})
+	if err := errors.Join(err, sendErr); err != nil {
 		return fmt.Errorf("telling gateway %d: %w", to, err)
 	}
 	return nil
 }
 
+// sockaddr is an address in the form that the socket's family wants. An IPv6 socket takes IPv4 addresses as mapped ones.
+func (p *peerLink) sockaddr(addr netip.AddrPort) unix.Sockaddr {
+	ip := addr.Addr().Unmap()
+	if p.ipv4 && ip.Is4() {
+		return &unix.SockaddrInet4{Port: int(addr.Port()), Addr: ip.As4()}
+	}
+	return &unix.SockaddrInet6{Port: int(addr.Port()), Addr: ip.As16()}
+}
+
 // read hands on the messages of known gateways until the socket is closed. What comes from elsewhere or is
 // too long is dropped: anyone may send to the port.
 func (p *peerLink) read(post func(event), log *slog.Logger) {
--- a/internal/gateway/told_test.go
+++ b/internal/gateway/told_test.go
@@ -301,3 +301,25 @@
 		t.Errorf("told %+v, want the whole list of version 9", n)
 	}
 }
+
+// Messages go out whatever the family of the socket and of the peer's address.
+func TestPeerAddressFamilies(t *testing.T) {
+	for _, listen := range []string{"127.0.0.1:0", "[::]:0"} {
+		peer, addr := holdUDP(t)
+		p, err := openPeers(mustAddr(listen), []netip.AddrPort{addr})
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer p.conn.Close()
+		if err := p.tell(0, "word"); err != nil {
+			t.Errorf("from %s: %v", listen, err)
+		}
+		if err := peer.SetReadDeadline(time.Now().Add(patience)); err != nil {
+			t.Fatal(err)
+		}
+		buf := make([]byte, 16)
+		if n, _, err := peer.ReadFromUDPAddrPort(buf); string(buf[:n]) != "word" || err != nil {
+			t.Errorf("from %s: got %q, %v", listen, buf[:n], err)
+		}
+	}
+}
