--- a/internal/gateway/steady_test.go
+++ b/internal/gateway/steady_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bufio"
 	"errors"
 	"fmt"
 	"io"
@@ -115,3 +116,61 @@
 		time.Sleep(pause)
 	}
 }
+
+// A gateway that stops reads nothing more from a client that is slow to take what it is owed: what such a client goes on sending
+// could not be answered before the platform ends the gateway. Left unread, it is sent again elsewhere.
+func TestStopReadsNoMoreFromASlowClient(t *testing.T) {
+	const (
+		servers  = 16
+		requests = 100
+		size     = 60 << 10
+		perRead  = 16 << 10
+	)
+	r := rigOfAnswers(t, servers, size)
+	conn := dialSmallWindow(t, r)
+	var batch strings.Builder
+	for i := range requests {
+		batch.WriteString(asked(fmt.Sprint("id-", i)))
+	}
+	if _, err := io.WriteString(conn, batch.String()); err != nil {
+		t.Fatal(err)
+	}
+	answers := bufio.NewReaderSize(conn, perRead)
+	if _, err := answers.Peek(1); err != nil {
+		t.Fatal(err)
+	}
+	r.stop()
+	for end := time.Now().Add(patience); ; time.Sleep(5 * time.Millisecond) { // until connections are drained
+		other, err := net.Dial("tcp", r.addr)
+		if err != nil {
+			break
+		}
+		other.Close()
+		if time.Now().After(end) {
+			t.Fatal("the listener stays open")
+		}
+	}
+	time.Sleep(100 * time.Millisecond)
+	if _, err := io.WriteString(conn, asked("late")); err != nil {
+		t.Fatal(err)
+	}
+	if err := conn.SetReadDeadline(time.Now().Add(patience)); err != nil {
+		t.Fatal(err)
+	}
+	got := 0
+	for ; ; got++ {
+		line, err := answers.ReadString('\n')
+		if err != nil {
+			break // its end, perhaps by a reset, as something is unread
+		}
+		size := 0
+		if _, err := fmt.Sscanf(line, "$%d\r\n", &size); err == nil {
+			if _, err := answers.Discard(size + 2); err != nil {
+				t.Fatalf("answer %d is cut: %v", got, err)
+			}
+		}
+	}
+	if got != requests {
+		t.Errorf("%d answers, want %d", got, requests)
+	}
+}
