A gateway that stops reads nothing more from a client that is slow to take what it is owed

Cause: a connection that is to end stopped reading only between requests, with nothing owed and nothing come. A slow reader that goes on sending is never there, so all it sent up to SIGKILL was read and answered into a buffer that it could not empty in time. What such a client sends after the drain began now stays unread, so that it is sent again elsewhere; what has been read is still answered, half a command is read to its end, and the client's leaving is still seen.

--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -41,6 +41,7 @@
 	used         time.Duration
 	owed         atomic.Int32 // answers that the reader counts on the loop to give
 	accepted     time.Time    // when it was taken from the listener
+	slow         atomic.Bool  // it has not taken all that was written to it
 	weaned       atomic.Bool  // to end between requests: no further command is waited for once all is answered
 }
 
@@ -284,6 +285,10 @@
 	rest := c.backlog[n:]
 	c.writing, c.writingBytes = c.waiting, len(rest)
 	c.backlog, c.waiting = nil, 0
+	c.slow.Store(true)
+	if c.weaned.Load() {
+		l.wakeReader(c) // it reads no more
+	}
 	c.finish(l, rest, writeLimit{stalled: clientWrite}, func(err error) event { return flushed{c, err} })
 }
 
@@ -296,6 +301,7 @@
 func (e flushed) apply(l *loop) {
 	l.on(&e.c.lifeline, func() {
 		e.c.busy = false
+		e.c.slow.Store(false)
 		if e.err != nil {
 			l.closeClient(e.c, writeFailure(e.err))
 			return
--- a/internal/gateway/reader.go
+++ b/internal/gateway/reader.go
@@ -54,8 +54,9 @@
 		// the reader sets this one before it looks at either.
 		by := r.deadline()
 		err := r.c.conn.SetReadDeadline(by)
-		if r.c.weaned.Load() && len(r.buf) == 0 && r.c.owed.Load() == 0 && r.c.conn.Quiet() {
+		if r.c.weaned.Load() && len(r.buf) == 0 && r.mayStop() {
 			r.hand(commands{last: true})
+			r.stayUnread()
 			return
 		}
 		if err == nil {
@@ -90,6 +91,24 @@
 	}
 }
 
+// mayStop reports whether a connection that is to end may do so now: nothing is owed and nothing has come, or the client is slow
+// to take what it is owed. What such a client goes on sending could not be answered in time, and what is left unread is
+// sent again elsewhere.
+func (r *reader) mayStop() bool {
+	return r.c.slow.Load() || r.c.owed.Load() == 0 && r.c.conn.Quiet()
+}
+
+// stayUnread stays with a connection of which nothing more is read, for as long as answers are owed on it: work for a client
+// that leaves must not go on.
+func (r *reader) stayUnread() {
+	for r.c.owed.Load() > 0 {
+		if r.waitForRoom() != nil {
+			r.post(left{r.c})
+			return
+		}
+	}
+}
+
 var errLate = errors.New("protocol error: the command did not end in time")
 
 func (r *reader) deadline() time.Time {
