--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -32,7 +32,7 @@
 
 // client is a connection of a client.
 type client struct {
-	lifeline
+	connection
 	slots        []*slot // in the order of the commands
 	backlog      []byte  // answers behind those that are being written
 	waiting      int     // answers in the backlog
@@ -42,18 +42,18 @@
 	owed         atomic.Int32 // answers that the reader counts on the loop to give
 	accepted     time.Time    // when it was taken from the listener
 	slow         atomic.Bool  // it has not taken all that was written to it
-	weaned       atomic.Bool  // to end between requests: no further command is waited for once all is answered
+	draining     atomic.Bool  // to end between requests: no further command is waited for once all is answered
 }
 
 func newClient(conn net.Conn) (*client, error) {
-	life, err := newLifeline(conn)
-	return &client{lifeline: life, accepted: time.Now()}, err
+	life, err := newConnection(conn)
+	return &client{connection: life, accepted: time.Now()}, err
 }
 
 // place makes the place of the next answer. It is nil where none can follow: a command that the reader handed on
 // before the connection ended in the middle of its batch is not begun.
 func (c *client) place() *slot {
-	if c.phase != phaseOpen {
+	if c.state != stateOpen {
 		return nil
 	}
 	s := &slot{}
@@ -75,7 +75,7 @@
 	fault bool // it sent what can't be read
 }
 
-func (e commands) apply(l *loop) { l.on(&e.c.lifeline, func() { l.take(e) }) }
+func (e commands) apply(l *loop) { l.on(&e.c.connection, func() { l.take(e) }) }
 
 // take carries out commands, up to the first that finds the connection at its end: an answer to one before it may
 // have shown that the client is gone.
@@ -97,11 +97,11 @@
 		l.flush(c)
 	}
 	if e.last {
-		c.advance(l, phaseDraining)
+		c.transition(l, stateDraining)
 		l.endIfDone(c)
 	}
 	if e.fault {
-		l.after(&c.lifeline, faultWithin, func() { l.failOpen(c, reasonFault) })
+		l.after(&c.connection, faultWithin, func() { l.failOpen(c, reasonFault) })
 	}
 }
 
@@ -117,7 +117,7 @@
 // left tells that a client closed its connection.
 type left struct{ c *client }
 
-func (e left) apply(l *loop) { l.on(&e.c.lifeline, func() { l.closeClient(e.c, closeLeft) }) }
+func (e left) apply(l *loop) { l.on(&e.c.connection, func() { l.closeClient(e.c, closeLeft) }) }
 
 // joined tells of a new connection.
 type joined struct{ c *client }
@@ -134,7 +134,7 @@
 		live += b2i(!c.ending())
 	}
 	if live >= clientSockets(l.cfg.Sockets) {
-		l.weanQuietest()
+		l.drainIdlest()
 	}
 	if l.full() { // connections to servers that were made while there were fewer clients may rest in the way
 		l.pool.evict()
@@ -144,7 +144,7 @@
 	}
 	if l.full() {
 		l.guard.closing(e.c, closeFull)
-		e.c.advance(l, phaseClosed) // unread: the client sends what it may have written once more, elsewhere
+		e.c.transition(l, stateClosed) // unread: the client sends what it may have written once more, elsewhere
 		return
 	}
 	e.c.used = l.clock.now()
@@ -152,7 +152,7 @@
 	r := reader{c: e.c, cfg: &l.cfg, clock: l.clock, limits: l.limits, post: l.in.post}
 	l.tasks.Go(r.run)
 	if l.closing {
-		l.after(&e.c.lifeline, lastCall, func() { l.wean(e.c) })
+		l.after(&e.c.connection, closeGrace, func() { l.drain(e.c) })
 	}
 }
 
@@ -166,18 +166,18 @@
 // evictClient makes room for a new connection: one that only lingers goes first, else the quietest is to end.
 func (l *loop) evictClient() {
 	for c := range l.clients {
-		if c.phase == phaseLingering && c.conn.Unsent() <= finBytes {
+		if c.state == stateLingering && c.conn.Unsent() <= finBytes {
 			l.closeClient(c, closeRoom)
 			return
 		}
 	}
-	l.weanQuietest()
+	l.drainIdlest()
 }
 
-// weanQuietest ends the connection that has been quiet for longest. (Ending those that have not asked yet in its place
+// drainIdlest ends the connection that has been quiet for longest. (Ending those that have not asked yet in its place
 // was measured: in a crowd of newcomers it is they who are about to ask.) If all are owed answers nothing is ended, and
 // a new one takes from the servers' share of descriptors.
-func (l *loop) weanQuietest() {
+func (l *loop) drainIdlest() {
 	var quiet *client
 	for c := range l.clients {
 		if len(c.slots) == 0 && !c.busy && !c.ending() && (quiet == nil || c.used < quiet.used) {
@@ -185,7 +185,7 @@
 		}
 	}
 	if quiet != nil {
-		l.wean(quiet)
+		l.drain(quiet)
 	}
 }
 
@@ -196,20 +196,20 @@
 	return 0
 }
 
-// wean ends a connection between requests: its reader stops once nothing is owed and nothing more waits in the
+// drain ends a connection between requests: its reader stops once nothing is owed and nothing more waits in the
 // kernel. Closing at once would lose a request that has come; a reader that stopped while answers are owed would
 // not see the client leave.
-func (l *loop) wean(c *client) {
-	c.weaned.Store(true)
+func (l *loop) drain(c *client) {
+	c.draining.Store(true)
 	l.wakeReader(c)
 }
 
 // ending reports that a connection takes no new command, or none once all is answered.
-func (c *client) ending() bool { return c.weaned.Load() || c.phase > phaseOpen }
+func (c *client) ending() bool { return c.draining.Load() || c.state > stateOpen }
 
 // wakeReader makes a reader look again whether it can stop, or hand on more.
 func (l *loop) wakeReader(c *client) {
-	c.rouse()
+	c.notify()
 	if err := c.conn.SetReadDeadline(time.Unix(1, 0)); err != nil {
 		l.closeClient(c, closeBroken)
 	}
@@ -242,7 +242,7 @@
 func (l *loop) sent(c *client, answers, bytes int) {
 	l.unsent -= bytes
 	owed := c.owed.Add(int32(-answers))
-	if owed < owedMost && owed+int32(answers) >= owedMost || owed == 0 && c.weaned.Load() {
+	if owed < owedMost && owed+int32(answers) >= owedMost || owed == 0 && c.draining.Load() {
 		l.wakeReader(c)
 	}
 }
@@ -286,7 +286,7 @@
 	c.writing, c.writingBytes = c.waiting, len(rest)
 	c.backlog, c.waiting = nil, 0
 	c.slow.Store(true)
-	if c.weaned.Load() {
+	if c.draining.Load() {
 		l.wakeReader(c) // it reads no more
 	}
 	c.finish(l, rest, writeLimit{stalled: clientWrite}, func(err error) event { return flushed{c, err} })
@@ -299,7 +299,7 @@
 }
 
 func (e flushed) apply(l *loop) {
-	l.on(&e.c.lifeline, func() {
+	l.on(&e.c.connection, func() {
 		e.c.busy = false
 		e.c.slow.Store(false)
 		if e.err != nil {
@@ -324,15 +324,15 @@
 
 // endIfDone ends the sending on a connection that is not read any more and on which nothing is owed.
 func (l *loop) endIfDone(c *client) {
-	if c.phase != phaseDraining || len(c.slots) > 0 || c.busy || len(c.backlog) > 0 {
+	if c.state != stateDraining || len(c.slots) > 0 || c.busy || len(c.backlog) > 0 {
 		return
 	}
-	c.advance(l, phaseLingering)
+	c.transition(l, stateLingering)
 	if c.conn.CloseWrite() != nil {
 		l.closeClient(c, closeBroken)
 		return
 	}
-	l.after(&c.lifeline, lingerFor, func() { l.endLinger(c, c.conn.Unsent(), l.clock.now()) })
+	l.after(&c.connection, lingerFor, func() { l.endLinger(c, c.conn.Unsent(), l.clock.now()) })
 }
 
 // endLinger closes a connection whose sending has ended, once the client has all that was sent, or takes nothing for
@@ -350,7 +350,7 @@
 		l.closeClient(c, closeStalled)
 		return
 	}
-	l.after(&c.lifeline, lingerFor, func() { l.endLinger(c, left, progress) })
+	l.after(&c.connection, lingerFor, func() { l.endLinger(c, left, progress) })
 }
 
 // closeClient ends a connection. What was open on it is over: no one waits for it any more.
@@ -362,7 +362,7 @@
 	if l.traced {
 		l.log.Debug("client closed", "connection", c.id, "reason", string(reason), "owed", len(c.slots), "unread_by_it", len(c.backlog)+c.writingBytes)
 	}
-	c.advance(l, phaseClosed)
+	c.transition(l, stateClosed)
 	delete(l.clients, c)
 	for _, s := range c.slots {
 		if s.req != nil {
--- a/internal/gateway/crossing_test.go
+++ b/internal/gateway/crossing_test.go
@@ -18,7 +18,7 @@
 	if _, err := io.ReadAtLeast(far, make([]byte, 1<<10), 1); err != nil {
 		t.Fatal(err)
 	}
-	c.used -= settleFor // it has rested
+	c.used -= quiescenceTime // it has reusable
 	far.Close()
 	for c.conn.Quiet() { // until the close has come
 		time.Sleep(time.Millisecond)
--- a/internal/gateway/guard_test.go
+++ b/internal/gateway/guard_test.go
@@ -17,7 +17,7 @@
 		"usual":        {"", func(*loop, *upConn, *attempt) {}},
 		"over":         {ruleAfterAnswer, func(_ *loop, _ *upConn, a *attempt) { a.over = true }},
 		"answered":     {ruleAfterAnswer, func(_ *loop, _ *upConn, a *attempt) { a.req.done = true }},
-		"client left":  {ruleClientGone, func(_ *loop, _ *upConn, a *attempt) { a.req.client.phase = phaseClosed }},
+		"client left":  {ruleClientGone, func(_ *loop, _ *upConn, a *attempt) { a.req.client.state = stateClosed }},
 		"draining":     {ruleDrain, func(_ *loop, c *upConn, _ *attempt) { c.server.entry.State = decide.Draining }},
 		"gone":         {ruleDrain, func(_ *loop, c *upConn, _ *attempt) { c.server.entry.State = decide.Gone }},
 		"in use":       {ruleOrder, func(_ *loop, c *upConn, a *attempt) { c.att = a }},
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"container/heap"
 	"context"
 	"fmt"
 	"log/slog"
@@ -18,105 +17,6 @@
 	"winghatch/internal/telemetry"
 )
 
-// event is something that the loop is told by another goroutine.
-type event interface{ apply(l *loop) }
-
-// inbox holds events until the loop takes all of them in one wake-up. Whoever posts to a full one waits, so
-// that peers who send faster than the loop works wait in the kernel and not in memory. The loop never posts.
-type inbox struct {
-	mu     sync.Mutex
-	room   sync.Cond
-	items  []event
-	closed bool
-	ready  chan struct{}
-}
-
-const inboxMost = 1024 // events: far more than a turn of the loop brings, and some MB if all are large
-
-func newInbox() *inbox {
-	q := &inbox{ready: make(chan struct{}, 1)}
-	q.room.L = &q.mu
-	return q
-}
-
-func (q *inbox) post(e event) {
-	q.mu.Lock()
-	for len(q.items) >= inboxMost && !q.closed {
-		q.room.Wait()
-	}
-	q.items = append(q.items, e)
-	first := len(q.items) == 1
-	q.mu.Unlock()
-	if first {
-		select {
-		case q.ready <- struct{}{}:
-		default:
-		}
-	}
-}
-
-// close lets those who wait go on: nothing is taken any more.
-func (q *inbox) close() {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.closed = true
-	q.room.Broadcast()
-}
-
-// take returns what has come in; spare is a former batch whose memory is used again.
-func (q *inbox) take(spare []event) []event {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	items := q.items
-	q.items = spare[:0]
-	q.room.Broadcast()
-	return items
-}
-
-// clock tells the time since the Unix epoch. It reads the wall clock once, as servers' start times are told
-// by it, and goes by the monotonic clock from then on, so it never runs backwards.
-type clock struct {
-	start time.Time
-	epoch time.Duration
-}
-
-func newClock() clock {
-	return clock{time.Now(), time.Duration(platform.Now().UnixNano())}
-}
-
-func (c clock) now() time.Duration { return c.epoch + time.Since(c.start) }
-
-// at is the time of the clock at t, which must have been read from the monotonic clock.
-func (c clock) at(t time.Time) time.Duration { return c.epoch + t.Sub(c.start) }
-
-// alarm is a call that is due at a time.
-type alarm struct {
-	at    time.Duration
-	do    func()
-	index int // in the heap, or -1
-}
-
-type alarms []*alarm
-
-func (a alarms) Len() int           { return len(a) }
-func (a alarms) Less(i, j int) bool { return a[i].at < a[j].at }
-func (a alarms) Swap(i, j int) {
-	a[i], a[j] = a[j], a[i]
-	a[i].index, a[j].index = i, j
-}
-func (a *alarms) Push(x any) {
-	x.(*alarm).index = len(*a)
-	*a = append(*a, x.(*alarm))
-}
-func (a *alarms) Pop() any {
-	old := *a
-	n := len(old) - 1
-	x := old[n]
-	old[n], x.index = nil, -1
-	*a = old[:n]
-	return x
-}
-
 // request is a client's request until its final answer is given and nothing of it is out.
 type request struct {
 	id       string // the module's; a client's own ids may come twice
@@ -126,13 +26,13 @@
 	attempts []*attempt
 	deadline time.Duration // of the final answer; no attempt tells more
 	begun    time.Duration
-	overdue  *alarm
+	overdue  *timer
 	out      int // attempts that have not ended
 	done     bool
 }
 
-// teller sends messages to other gateways by their numbers.
-type teller interface {
+// messenger sends messages to other gateways by their numbers.
+type messenger interface {
 	tell(to int, text string) error
 }
 
@@ -149,9 +49,9 @@
 	clock    clock
 	core     *decide.Gateway
 	in       *inbox
-	peers    teller // nil where messages are not allowed
+	peers    messenger // nil where messages are not allowed
 	dial     dialer
-	alarms   alarms
+	timers   timers
 	todo     []decide.Event
 	requests map[string]*request
 	ids      map[string]struct{} // of the requests that are owed an answer, as their clients named them
@@ -222,14 +122,14 @@
 
 // run handles events until the gateway has stopped and owes nothing.
 func (l *loop) run() {
-	timer := time.NewTimer(time.Hour)
-	defer timer.Stop()
+	wakeup := time.NewTimer(time.Hour)
+	defer wakeup.Stop()
 	var batch []event
 	for !l.finished() {
-		if len(l.alarms) > 0 {
-			timer.Reset(l.alarms[0].at - l.clock.now())
+		if len(l.timers) > 0 {
+			wakeup.Reset(l.timers[0].at - l.clock.now())
 		} else {
-			timer.Reset(time.Hour)
+			wakeup.Reset(time.Hour)
 		}
 		select {
 		case <-l.in.ready:
@@ -240,9 +140,9 @@
 				e.apply(l)
 				l.drainTodo()
 			}
-		case <-timer.C:
+		case <-wakeup.C:
 		}
-		l.ring()
+		l.fireTimers()
 		l.measure()
 	}
 }
@@ -282,29 +182,6 @@
 	}
 }
 
-// ring makes the calls that are due.
-func (l *loop) ring() {
-	now := l.clock.now()
-	for len(l.alarms) > 0 && l.alarms[0].at <= now {
-		heap.Pop(&l.alarms).(*alarm).do()
-		l.drainTodo()
-	}
-}
-
-func (l *loop) at(t time.Duration, do func()) *alarm {
-	a := &alarm{at: t, do: do}
-	heap.Push(&l.alarms, a)
-	return a
-}
-
-// unset takes an alarm back, if it has not rung. An alarm left to ring would hold what it is about until then: a
-// client's request for as long as the client would have waited.
-func (l *loop) unset(a *alarm) {
-	if a != nil && a.index >= 0 {
-		heap.Remove(&l.alarms, a.index)
-	}
-}
-
 // feed queues an event for the module. What an action brings about at once waits until the actions before it
 // are carried out.
 func (l *loop) feed(ev decide.Event) { l.todo = append(l.todo, ev) }
@@ -376,7 +253,7 @@
 		}
 	case decide.SetTimer:
 		core := l.core
-		l.at(a.At, func() {
+		l.schedule(a.At, func() {
 			if core == l.core { // else it was set before a restart
 				l.feed(decide.TimerFired{Token: a.Token})
 			}
@@ -429,7 +306,7 @@
 	if l.stopBy > 0 {
 		deadline = min(deadline, l.stopBy)
 	}
-	r.overdue = l.at(deadline+overdueAfter, func() { l.overdue(r) })
+	r.overdue = l.schedule(deadline+overdueAfter, func() { l.overdue(r) })
 	r.deadline, r.begun = deadline, l.clock.now()
 	if l.traced {
 		l.log.Debug("request taken", "request", r.id, "client_id", cmd.id(), "connection", c.id, "class", cmd.req.Class,
@@ -504,7 +381,7 @@
 	r.slot.req = nil
 	l.held -= r.cmd.size()
 	delete(l.ids, r.cmd.id())
-	l.unset(r.overdue)
+	l.cancelTimer(r.overdue)
 	l.drop(r)
 }
 
@@ -539,7 +416,7 @@
 		l.ended(a, decide.Moot)
 		return
 	}
-	a.expiry = l.at(a.until, func() { l.pool.expire(a) })
+	a.expiry = l.schedule(a.until, func() { l.pool.expire(a) })
 	l.pool.start(a)
 }
 
@@ -553,7 +430,7 @@
 	if l.traced {
 		l.log.Debug("attempt ended", "request", a.req.id, "attempt", a.n, "outcome", o.String(), "took", l.clock.now()-a.at)
 	}
-	l.unset(a.expiry)
+	l.cancelTimer(a.expiry)
 	r := a.req
 	r.out--
 	ev := decide.AttemptEnded{ID: r.id, Attempt: a.n, Outcome: o, Took: l.clock.now() - a.at, Done: r.done}
--- a/internal/gateway/reader.go
+++ b/internal/gateway/reader.go
@@ -54,7 +54,7 @@
 		// the reader sets this one before it looks at either.
 		by := r.deadline()
 		err := r.c.conn.SetReadDeadline(by)
-		if r.c.weaned.Load() && len(r.buf) == 0 && r.mayStop() {
+		if r.c.draining.Load() && len(r.buf) == 0 && r.mayStop() {
 			r.hand(commands{last: true})
 			r.stayUnread()
 			return
@@ -167,10 +167,10 @@
 	return nil
 }
 
-// seeOut stays with a connection of which nothing more is taken for as long as answers are owed on it: work for a
+// drainReads stays with a connection of which nothing more is taken for as long as answers are owed on it: work for a
 // client that leaves must not go on. What it still sends is dropped, so that its end can come through; of one that
 // sends much the end is looked for.
-func (r *reader) seeOut() {
+func (r *reader) drainReads() {
 	drop := make([]byte, clientBuffer)
 	for most := dropMost; r.c.owed.Load() > 0; {
 		if most <= 0 {
@@ -231,7 +231,7 @@
 func (r *reader) refuse(why error, fault bool) {
 	reply := redcon.AppendError(nil, "ERR "+why.Error())
 	r.hand(commands{got: []received{{reply: reply}}, last: true, fault: fault})
-	r.seeOut()
+	r.drainReads()
 }
 
 // hand posts commands.
--- a/internal/gateway/rude_test.go
+++ b/internal/gateway/rude_test.go
@@ -110,9 +110,9 @@
 	for c.conn.Quiet() { // the kernel has it before the reader is started
 		time.Sleep(time.Millisecond)
 	}
-	c.weaned.Store(true)
+	c.draining.Store(true)
 	join(l, c)
-	l.wean(c)
+	l.drain(c)
 	until(t, l, func() bool { return c.closed() })
 	if got := text(t, far); got != "+PONG\r\n" {
 		t.Errorf("got %q", got)
@@ -186,16 +186,16 @@
 func TestFaultDoesNotWaitForOpenRequests(t *testing.T) {
 	l := still(t, unreachable(t))
 	c, far := connect(t, l, usualLimits, asked("id")+"*-1\r\n")
-	for c.phase == phaseOpen {
+	for c.state == stateOpen {
 		step(l)
 	}
 	if c.closed() || len(l.requests) != 1 {
 		t.Fatal("the open request got no time")
 	}
-	for _, a := range l.alarms {
+	for _, a := range l.timers {
 		a.at -= faultWithin
 	}
-	l.ring()
+	l.fireTimers()
 	if got := text(t, far); !strings.HasPrefix(got, "-ERR failed\r\n-ERR protocol error") {
 		t.Errorf("got %q, want an answer and the error", got)
 	}
@@ -223,21 +223,21 @@
 	<-done
 }
 
-// What is over is let go at once: its alarms would hold it for as long as its client would have waited.
+// What is over is let go at once: its timers would hold it for as long as its client would have waited.
 func TestEndedWorkIsLetGo(t *testing.T) {
 	l := still(t, unreachable(t))
-	before := len(l.alarms)
+	before := len(l.timers)
 	r, _ := open(t, l)
-	timers := 0 // the module's own, which name what they are about and don't hold it
-	for _, a := range l.alarms[before:] {
+	pending := 0 // the module's own, which name what they are about and don't hold it
+	for _, a := range l.timers[before:] {
 		if a != r.overdue && a != r.attempts[0].expiry {
-			timers++
+			pending++
 		}
 	}
 	l.closeClient(r.client, closeLeft)
 	l.drainTodo()
-	if len(l.alarms) != before+timers || len(l.requests) != 0 || len(l.ids) != 0 {
-		t.Errorf("%d alarms, want %d; %d requests, %d ids", len(l.alarms), before+timers, len(l.requests), len(l.ids))
+	if len(l.timers) != before+pending || len(l.requests) != 0 || len(l.ids) != 0 {
+		t.Errorf("%d timers, want %d; %d requests, %d ids", len(l.timers), before+pending, len(l.requests), len(l.ids))
 	}
 }
 
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -23,17 +23,17 @@
 func clientSockets(all int) int   { return (all - reserveSockets) / 2 }
 
 const (
-	acceptOn = 500 * time.Millisecond // after the stop: the front goes on sending new connections for a while
-	lastCall = 200 * time.Millisecond // for a connection that came in as the listener closed
-	// The platform kills a gateway that it has told to stop once the longest deadline (no more than stopWait of it)
-	// and stopOver have passed. What is owed by then would be lost, so it is failed stopEarly before.
-	stopWait  = 3 * time.Second
-	stopOver  = 700 * time.Millisecond
-	stopEarly = 200 * time.Millisecond
+	acceptOn   = 500 * time.Millisecond // after the stop: the front goes on sending new connections for a while
+	closeGrace = 200 * time.Millisecond // for a connection that came in as the listener closed
+	// The platform kills a gateway that it has told to stop once the longest deadline (no more than shutdownWait of it)
+	// and shutdownGrace have passed. What is owed by then would be lost, so it is failed shutdownMargin before.
+	shutdownWait   = 3 * time.Second
+	shutdownGrace  = 700 * time.Millisecond
+	shutdownMargin = 200 * time.Millisecond
 	// Clients that take their last answers slowly have this long; the platform may end the gateway before.
-	stopLongest = 10 * time.Second
-	// What was read ahead gets its refusals in this; connections linger before they are closed, still in stopEarly.
-	stopLast = stopEarly - lingerFor - 10*time.Millisecond
+	shutdownLongest = 10 * time.Second
+	// What was read ahead gets its refusals in this; connections linger before they are closed, still in shutdownMargin.
+	shutdownLast = shutdownMargin - lingerFor - 10*time.Millisecond
 )
 
 // Run serves until the context ends; then it takes what still comes for a moment, answers all that it has
@@ -105,14 +105,14 @@
 	now := l.clock.now()
 	l.stopBy = now + l.stopGrace()
 	l.log.Info("stopping", "open", len(l.requests))
-	l.at(min(now+acceptOn, l.stopBy), func() {
+	l.schedule(min(now+acceptOn, l.stopBy), func() {
 		s.ln.Close()
 		l.closing = true
 		for c := range l.clients {
-			l.wean(c)
+			l.drain(c)
 		}
 	})
-	l.at(l.stopBy, l.stopAll)
+	l.schedule(l.stopBy, l.stopAll)
 }
 
 // stopGrace is how long after the stop answers can still be given.
@@ -122,9 +122,9 @@
 		longest = max(longest, l.cfg.Settings.Decide.Classes[i].Deadline)
 	}
 	if longest <= 0 {
-		longest = stopWait
+		longest = shutdownWait
 	}
-	return min(longest, stopWait) + stopOver - stopEarly
+	return min(longest, shutdownWait) + shutdownGrace - shutdownMargin
 }
 
 // stopAll fails what is still owed, such as requests at servers that hang, and ends all connections: those on which
@@ -133,15 +133,15 @@
 	l.closing = true
 	for c := range l.clients {
 		l.failOpen(c, reasonStopping)
-		l.wean(c)
+		l.drain(c)
 	}
-	l.at(l.clock.now()+stopLast, func() {
+	l.schedule(l.clock.now()+shutdownLast, func() {
 		for c := range l.clients {
-			c.advance(l, phaseDraining)
+			c.transition(l, stateDraining)
 			l.endIfDone(c)
 		}
 	})
-	l.at(l.clock.now()+stopLongest, func() {
+	l.schedule(l.clock.now()+shutdownLongest, func() {
 		for c := range l.clients {
 			l.closeClient(c, closeShutdown)
 		}
--- a/internal/gateway/shutdown_test.go
+++ b/internal/gateway/shutdown_test.go
@@ -85,7 +85,7 @@
 	for _, r := range l.requests {
 		a = r.attempts[0]
 	}
-	l.wean(c)
+	l.drain(c)
 	if _, err := io.WriteString(far, "*1\r\n$4\r\nPING\r\n"); err != nil {
 		t.Fatal(err)
 	}
@@ -134,7 +134,7 @@
 func TestUnreadInputDoesNotDestroyTheAnswer(t *testing.T) {
 	l := still(t, nil)
 	c, far := connect(t, l, usualLimits, "*1\r\n$4\r\nPING\r\n*1\r\n:5\r\n"+strings.Repeat("x", 64<<10))
-	until(t, l, func() bool { return (c.phase >= phaseLingering) })
+	until(t, l, func() bool { return (c.state >= stateLingering) })
 	if c.closed() {
 		t.Error("the connection was closed at once")
 	}
@@ -149,7 +149,7 @@
 	l := still(t, nil)
 	quiet, _ := connect(t, l, usualLimits, "")
 	c, _ := connect(t, l, usualLimits, "*1\r\n:5\r\n")
-	until(t, l, func() bool { return (c.phase >= phaseLingering) })
+	until(t, l, func() bool { return (c.state >= stateLingering) })
 	l.evictClient()
 	if !c.closed() || quiet.ending() {
 		t.Errorf("closed: lingering %v; ending: quiet %v", c.closed(), quiet.ending())
@@ -177,7 +177,7 @@
 		}
 		got <- int(n)
 	}()
-	until(t, l, func() bool { return (c.phase >= phaseLingering) })
+	until(t, l, func() bool { return (c.state >= stateLingering) })
 	if n := <-got; n != len(answer) {
 		t.Errorf("the client got %d bytes, want %d", n, len(answer))
 	}
--- a/internal/gateway/slow_test.go
+++ b/internal/gateway/slow_test.go
@@ -38,7 +38,7 @@
 	}
 }
 
-// until turns the loop, alarms included, until what is waited for has come.
+// until turns the loop, timers included, until what is waited for has come.
 func until(t *testing.T, l *loop, come func() bool) {
 	t.Helper()
 	for end := time.Now().Add(patience); !come(); {
@@ -46,8 +46,8 @@
 		if wait < 0 {
 			t.Fatal("what is waited for does not come")
 		}
-		if len(l.alarms) > 0 {
-			wait = min(wait, max(0, l.alarms[0].at-l.clock.now()))
+		if len(l.timers) > 0 {
+			wait = min(wait, max(0, l.timers[0].at-l.clock.now()))
 		}
 		select {
 		case <-l.in.ready:
@@ -57,7 +57,7 @@
 			}
 		case <-time.After(wait):
 		}
-		l.ring()
+		l.fireTimers()
 	}
 }
 
@@ -185,7 +185,7 @@
 	}
 	join(l, c)
 	step(l)
-	l.wean(c)
+	l.drain(c)
 	if _, err := io.WriteString(far, "NG\r\n"); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/gateway/spoilt_test.go
+++ b/internal/gateway/spoilt_test.go
@@ -106,7 +106,7 @@
 			t.Fatal("the copy was read, or never came")
 		}
 	}
-	c.used -= settleFor
+	c.used -= quiescenceTime
 	second := &attempt{req: &request{id: "r", cmd: a.req.cmd}, server: a.server, until: l.clock.now() + long}
 	l.pool.start(second)
 	if !c.closed() || second.conn != nil {
@@ -130,12 +130,12 @@
 	}
 	s, c := a.server, a.conn
 	c.used = l.clock.now() + long
-	if l.pool.rested(s) != nil {
+	if l.pool.reusable(s) != nil {
 		t.Error("a connection that was just used is taken")
 	}
-	c.used = l.clock.now() - settleFor
-	if l.pool.rested(s) != c {
-		t.Error("a connection that has rested is not taken")
+	c.used = l.clock.now() - quiescenceTime
+	if l.pool.reusable(s) != c {
+		t.Error("a connection that has reusable is not taken")
 	}
 }
 
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -20,7 +20,7 @@
 	// What a server sends right behind an answer, such as a second copy, is on its way as long as the answer was,
 	// give or take the network's jitter. A connection that has stood for this long with nothing in the kernel is
 	// in step; one that is used sooner might bring the next request another one's answer.
-	settleFor = 10 * time.Millisecond
+	quiescenceTime = 10 * time.Millisecond
 	// A server writes an answer in one go. One that has begun and is not whole after this trickles, and the
 	// request has better uses for the time that is left to it.
 	answerWithin = 250 * time.Millisecond
@@ -62,7 +62,7 @@
 // upConn is a connection to a server. It carries one attempt at a time, as giving an attempt up closes it. Its reader
 // is woken for each answer that is owed.
 type upConn struct {
-	lifeline
+	connection
 	server *upstream
 	att    *attempt // whose answer is owed
 	used   time.Duration
@@ -70,8 +70,8 @@
 }
 
 func newUpConn(conn net.Conn, s *upstream, now time.Duration) (*upConn, error) {
-	life, err := newLifeline(conn)
-	return &upConn{lifeline: life, server: s, used: now}, err
+	life, err := newConnection(conn)
+	return &upConn{connection: life, server: s, used: now}, err
 }
 
 // attempt is one try at one server.
@@ -84,7 +84,7 @@
 	at, until time.Duration
 	before    time.Duration // nothing of it may be written later, if not 0
 	conn      *upConn       // nil until it has one
-	expiry    *alarm
+	expiry    *timer
 	whole     bool // the last byte may have been written
 	over      bool
 }
@@ -170,7 +170,7 @@
 		p.l.ended(a, decide.NoConnection)
 		return
 	}
-	for c := p.rested(s); c != nil; c = p.rested(s) {
+	for c := p.reusable(s); c != nil; c = p.reusable(s) {
 		if p.write(c, a) {
 			return
 		}
@@ -185,11 +185,11 @@
 	p.dial(a)
 }
 
-// rested takes the idle connection that was used last, of those that have stood for settleFor.
-func (p *pool) rested(s *upstream) *upConn {
+// reusable takes the idle connection that was used last, of those that have stood for quiescenceTime.
+func (p *pool) reusable(s *upstream) *upConn {
 	now := p.l.clock.now()
 	for i := len(s.idle) - 1; i >= 0; i-- {
-		if c := s.idle[i]; c.used+settleFor <= now {
+		if c := s.idle[i]; c.used+quiescenceTime <= now {
 			s.idle = slices.Delete(s.idle, i, i+1)
 			return c
 		}
@@ -344,7 +344,7 @@
 	}
 	c.att, a.conn, c.used = a, c, p.l.clock.now()
 	c.wrote.Store(n == len(b))
-	c.rouse()
+	c.notify()
 	if n == len(b) {
 		a.whole = true
 		return true
@@ -405,7 +405,7 @@
 	c.server.idle = append(c.server.idle, c)
 	if !p.sweeping && p.idleFor > 0 {
 		p.sweeping = true
-		p.l.at(c.used+p.idleFor, p.sweep)
+		p.l.schedule(c.used+p.idleFor, p.sweep)
 	}
 }
 
@@ -423,12 +423,12 @@
 		}
 	}
 	if p.sweeping = next > 0; p.sweeping {
-		p.l.at(next+p.idleFor, p.sweep)
+		p.l.schedule(next+p.idleFor, p.sweep)
 	}
 }
 
 func (p *pool) close(c *upConn, reason serverCloseReason) {
-	if !c.advance(p.l, phaseClosed) {
+	if !c.transition(p.l, stateClosed) {
 		return
 	}
 	p.l.metrics.ServerCloses.Inc(string(reason))
@@ -479,7 +479,7 @@
 	behind bool // it began behind the request's last byte
 }
 
-func (e answered) apply(l *loop) { l.on(&e.c.lifeline, func() { l.pool.answered(e) }) }
+func (e answered) apply(l *loop) { l.on(&e.c.connection, func() { l.pool.answered(e) }) }
 
 func (p *pool) answered(e answered) {
 	c, a, l := e.c, e.c.att, p.l
@@ -509,7 +509,7 @@
 	spoilt bool
 }
 
-func (e broke) apply(l *loop) { l.on(&e.c.lifeline, func() { l.pool.broke(e) }) }
+func (e broke) apply(l *loop) { l.on(&e.c.connection, func() { l.pool.broke(e) }) }
 
 func (p *pool) broke(e broke) {
 	c, a, l := e.c, e.c.att, p.l
