--- a/internal/faultsoak/fleet.go
+++ b/internal/faultsoak/fleet.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -16,6 +17,7 @@
 	"golang.org/x/sys/unix"
 
 	"winghatch/internal/platform"
+	"winghatch/internal/telemetry"
 )
 
 // Ports on the loopback addresses of a run.
@@ -25,6 +27,7 @@
 	discoveryPort = 8500
 	serverPort    = 6400
 	proxyPort     = 6379
+	metricsPort   = 9100
 )
 
 const (
@@ -250,7 +253,8 @@
 		return err
 	}
 	cmd := exec.Command(f.options.GatewayProgram)
-	cmd.Env = append(os.Environ(), "GW_CONFIG="+f.configPath(g), "GW_FAULTS="+string(faults))
+	cmd.Env = append(os.Environ(), "GW_CONFIG="+f.configPath(g), "GW_FAULTS="+string(faults),
+		"GW_METRICS="+f.addr(roleGateway, g.number, metricsPort))
 	stderr, err := f.stderr(g, logs)
 	if err != nil {
 		return err
@@ -456,6 +460,34 @@
 	}
 }
 
+// violationsMetric is the name of the counters of invariants that a gateway found broken.
+const violationsMetric = "gateway_invariant_violations_total"
+
+// readMetrics looks at the counters of the gateways that run: a log may be one that nobody reads.
+func (f *fleet) readMetrics() {
+	client := http.Client{Timeout: 2 * time.Second}
+	for _, g := range f.gateways {
+		g.mu.Lock()
+		p := g.proc
+		g.mu.Unlock()
+		if !p.running() || p.isExpected() {
+			continue
+		}
+		resp, err := client.Get("http://" + f.addr(roleGateway, g.number, metricsPort) + telemetry.Path)
+		if err != nil {
+			f.log("gateway %d: no counters: %v", g.number, err) // its system calls may be failing
+			continue
+		}
+		lines := bufio.NewScanner(resp.Body)
+		for lines.Scan() {
+			if strings.HasPrefix(lines.Text(), violationsMetric) {
+				f.oracle.violate(RuleInvariant, "gateway %d: %s", g.number, lines.Text())
+			}
+		}
+		resp.Body.Close()
+	}
+}
+
 // Marks of trouble in a gateway's log.
 var logMarks = []string{"invariant violated", "panic", "left open past its deadline"}
 
--- a/internal/faultsoak/run.go
+++ b/internal/faultsoak/run.go
@@ -89,6 +89,7 @@
 	names := f.playTroubles(until.Add(-quietEnd))
 	f.clients.tasks.Wait()
 	time.Sleep(200 * time.Millisecond) // for the last events
+	f.readMetrics()
 	f.readLogs()
 	report := f.report(begun)
 	report.Troubles = names
