An answer is not spoilt by this gateway's own delay

Found by reading: the rest of an answer has 250 ms, and a read whose time is over fails without looking at what has come. What waits is now read once more. Without that TestAnswerThatWaitsIsRead fails in 'waits'.

--- a/internal/gateway/spoilt_test.go
+++ b/internal/gateway/spoilt_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"strings"
 	"syscall"
 	"testing"
@@ -189,3 +190,46 @@
 		}
 	}
 }
+
+// heldUpLink is a connection whose reader was held up: an answer's second half waits as the time for it ends.
+type heldUpLink struct {
+	link
+	reads []string // an empty one is the end of the time
+}
+
+func (l *heldUpLink) Read(b []byte) (int, error) {
+	if len(l.reads) == 0 {
+		return 0, os.ErrDeadlineExceeded
+	}
+	piece := l.reads[0]
+	l.reads = l.reads[1:]
+	if piece == "" {
+		return 0, os.ErrDeadlineExceeded
+	}
+	return copy(b, piece), nil
+}
+
+func (l *heldUpLink) Quiet() bool                     { return len(l.reads) == 0 }
+func (l *heldUpLink) SetReadDeadline(time.Time) error { return nil }
+
+// An answer is not spoilt by this gateway's own delay; one that does not go on is.
+func TestAnswerThatWaitsIsRead(t *testing.T) {
+	whole := served("v")
+	half := len(whole) / 2
+	for name, tc := range map[string]struct {
+		reads []string
+		ok    bool
+	}{
+		"waits":        {[]string{whole[:half], "", whole[half:]}, true},
+		"does not":     {[]string{whole[:half], ""}, false},
+		"late again":   {[]string{whole[:half], "", whole[half : half+2], "", whole[half+2:]}, false},
+		"in one piece": {[]string{whole}, true},
+	} {
+		c := &upConn{connection: connection{conn: &heldUpLink{reads: tc.reads}}}
+		buf := make([]byte, 0, readFirst)
+		a, _, err := c.readAnswer(&buf)
+		if (err == nil) != tc.ok || tc.ok && a.outcome != decide.OK || !tc.ok && !errors.Is(err, errSpoilt) {
+			t.Errorf("%s: %v, %v", name, a.outcome, err)
+		}
+	}
+}
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -552,6 +552,7 @@
 // readAnswer reads one answer, and tells whether it began behind the request's last byte.
 func (c *upConn) readAnswer(buf *[]byte) (_ answer, behind bool, _ error) {
 	b := *buf
+	renewed := false
 	for begun := false; ; {
 		if len(b) == cap(b) {
 			b = slices.Grow(b, cap(b))
@@ -564,6 +565,11 @@
 		*buf = b
 		a, used, fault := parseAnswer(b)
 		switch {
+		case fault == nil && !renewed && errors.Is(err, os.ErrDeadlineExceeded) && !c.conn.Quiet():
+			renewed = true // this gateway was held up: what is missing may be what waits
+			if err := c.conn.SetReadDeadline(time.Now().Add(answerWithin)); err != nil {
+				return a, behind, err
+			}
 		case fault != nil, errors.Is(err, os.ErrDeadlineExceeded):
 			return a, behind, errSpoilt
 		case used > 0:
