--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -1,15 +1,12 @@
 package gateway
 
 import (
-	"context"
 	"errors"
-	"log/slog"
 	"net"
+	"os"
 	"slices"
 	"sync/atomic"
 	"time"
-
-	"winghatch/internal/logging"
 )
 
 const (
@@ -20,8 +17,6 @@
 	// Whoever sends what can't be read is owed an error within 3 s. Requests before it are owed their answers, and those
 	// that are still open after this are failed, so that the error can follow.
 	faultWithin = 2 * time.Second
-	acceptRetry = 10 * time.Millisecond // after a failure: the machine may have then what it lacked
-	acceptAhead = 16                    // connections that may be taken before the loop has counted them
 	// A connection on which a command waits unread is reset as it is closed, and the reset may overtake or destroy
 	// the answers before it. So the gateway ends its sending first, and closes when those have arrived.
 	lingerFor = 150 * time.Millisecond
@@ -37,7 +32,7 @@
 
 // client is a connection of a client.
 type client struct {
-	lifeline
+	connection
 	slots        []*slot // in the order of the commands
 	backlog      []byte  // answers behind those that are being written
 	waiting      int     // answers in the backlog
@@ -46,18 +41,19 @@
 	used         time.Duration
 	owed         atomic.Int32 // answers that the reader counts on the loop to give
 	accepted     time.Time    // when it was taken from the listener
-	weaned       atomic.Bool  // to end between requests: no further command is waited for once all is answered
+	slow         atomic.Bool  // it has not taken all that was written to it
+	draining     atomic.Bool  // to end between requests: no further command is waited for once all is answered
 }
 
 func newClient(conn net.Conn) (*client, error) {
-	life, err := newLifeline(conn)
-	return &client{lifeline: life, accepted: time.Now()}, err
+	life, err := newConnection(conn)
+	return &client{connection: life, accepted: time.Now()}, err
 }
 
 // place makes the place of the next answer. It is nil where none can follow: a command that the reader handed on
 // before the connection ended in the middle of its batch is not begun.
 func (c *client) place() *slot {
-	if c.phase != phaseOpen {
+	if c.state != stateOpen {
 		return nil
 	}
 	s := &slot{}
@@ -79,7 +75,7 @@
 	fault bool // it sent what can't be read
 }
 
-func (e commands) apply(l *loop) { l.on(&e.c.lifeline, func() { l.take(e) }) }
+func (e commands) apply(l *loop) { l.on(&e.c.connection, func() { l.take(e) }) }
 
 // take carries out commands, up to the first that finds the connection at its end: an answer to one before it may
 // have shown that the client is gone.
@@ -101,19 +97,19 @@
 		l.flush(c)
 	}
 	if e.last {
-		c.advance(l, phaseDraining)
+		c.transition(l, stateDraining)
 		l.endIfDone(c)
 	}
 	if e.fault {
-		l.after(&c.lifeline, faultWithin, func() { l.failOpen(c) })
+		l.after(&c.connection, faultWithin, func() { l.failOpen(c, reasonFault) })
 	}
 }
 
 // failOpen fails all requests that are open on a connection.
-func (l *loop) failOpen(c *client) {
+func (l *loop) failOpen(c *client, reason string) {
 	for _, s := range slices.Clone(c.slots) {
 		if s.req != nil {
-			l.fail(s.req)
+			l.fail(s.req, reason)
 		}
 	}
 }
@@ -121,13 +117,16 @@
 // left tells that a client closed its connection.
 type left struct{ c *client }
 
-func (e left) apply(l *loop) { l.on(&e.c.lifeline, func() { l.closeClient(e.c) }) }
+func (e left) apply(l *loop) { l.on(&e.c.connection, func() { l.closeClient(e.c, closeLeft) }) }
 
 // joined tells of a new connection.
 type joined struct{ c *client }
 
 func (e joined) apply(l *loop) {
 	<-l.ahead
+	if !l.ready {
+		l.guard.broken(ruleStart, "connection", e.c.id)
+	}
 	// Those that end on their own account hold a descriptor for a while longer. So room is made before the last is
 	// taken, for each newcomer anew: a crowd would else leave a usual client to chance.
 	live := 0
@@ -135,7 +134,7 @@
 		live += b2i(!c.ending())
 	}
 	if live >= clientSockets(l.cfg.Sockets) {
-		l.weanQuietest()
+		l.drainIdlest()
 	}
 	if l.full() { // connections to servers that were made while there were fewer clients may rest in the way
 		l.pool.evict()
@@ -144,7 +143,8 @@
 		l.evictClient()
 	}
 	if l.full() {
-		e.c.advance(l, phaseClosed) // unread: the client sends what it may have written once more, elsewhere
+		l.guard.closing(e.c, closeFull)
+		e.c.transition(l, stateClosed) // unread: the client sends what it may have written once more, elsewhere
 		return
 	}
 	e.c.used = l.clock.now()
@@ -152,7 +152,7 @@
 	r := reader{c: e.c, cfg: &l.cfg, clock: l.clock, limits: l.limits, post: l.in.post}
 	l.tasks.Go(r.run)
 	if l.closing {
-		l.after(&e.c.lifeline, lastCall, func() { l.wean(e.c) })
+		l.after(&e.c.connection, closeGrace, func() { l.drain(e.c) })
 	}
 }
 
@@ -166,18 +166,18 @@
 // evictClient makes room for a new connection: one that only lingers goes first, else the quietest is to end.
 func (l *loop) evictClient() {
 	for c := range l.clients {
-		if c.phase == phaseLingering && c.conn.Unsent() <= finBytes {
-			l.closeClient(c)
+		if c.state == stateLingering && c.conn.Unsent() <= finBytes {
+			l.closeClient(c, closeRoom)
 			return
 		}
 	}
-	l.weanQuietest()
+	l.drainIdlest()
 }
 
-// weanQuietest ends the connection that has been quiet for longest. (Ending those that have not asked yet in its place
+// drainIdlest ends the connection that has been quiet for longest. (Ending those that have not asked yet in its place
 // was measured: in a crowd of newcomers it is they who are about to ask.) If all are owed answers nothing is ended, and
 // a new one takes from the servers' share of descriptors.
-func (l *loop) weanQuietest() {
+func (l *loop) drainIdlest() {
 	var quiet *client
 	for c := range l.clients {
 		if len(c.slots) == 0 && !c.busy && !c.ending() && (quiet == nil || c.used < quiet.used) {
@@ -185,7 +185,7 @@
 		}
 	}
 	if quiet != nil {
-		l.wean(quiet)
+		l.drain(quiet)
 	}
 }
 
@@ -196,22 +196,22 @@
 	return 0
 }
 
-// wean ends a connection between requests: its reader stops once nothing is owed and nothing more waits in the
+// drain ends a connection between requests: its reader stops once nothing is owed and nothing more waits in the
 // kernel. Closing at once would lose a request that has come; a reader that stopped while answers are owed would
 // not see the client leave.
-func (l *loop) wean(c *client) {
-	c.weaned.Store(true)
+func (l *loop) drain(c *client) {
+	c.draining.Store(true)
 	l.wakeReader(c)
 }
 
 // ending reports that a connection takes no new command, or none once all is answered.
-func (c *client) ending() bool { return c.weaned.Load() || c.phase > phaseOpen }
+func (c *client) ending() bool { return c.draining.Load() || c.state > stateOpen }
 
 // wakeReader makes a reader look again whether it can stop, or hand on more.
 func (l *loop) wakeReader(c *client) {
-	c.rouse()
+	c.notify()
 	if err := c.conn.SetReadDeadline(time.Unix(1, 0)); err != nil {
-		l.closeClient(c) // already broken
+		l.closeClient(c, closeBroken)
 	}
 }
 
@@ -242,7 +242,7 @@
 func (l *loop) sent(c *client, answers, bytes int) {
 	l.unsent -= bytes
 	owed := c.owed.Add(int32(-answers))
-	if owed < owedMost && owed+int32(answers) >= owedMost || owed == 0 && c.weaned.Load() {
+	if owed < owedMost && owed+int32(answers) >= owedMost || owed == 0 && c.draining.Load() {
 		l.wakeReader(c)
 	}
 }
@@ -261,7 +261,7 @@
 			return // all of it is being written, in bounded pieces
 		}
 		l.log.Warn("a client is closed as answers unread by clients fill their memory", "bytes", len(most.backlog))
-		l.closeClient(most)
+		l.closeClient(most, closeMemory)
 	}
 }
 
@@ -272,7 +272,7 @@
 	}
 	n, err := c.try(c.backlog)
 	if err != nil {
-		l.closeClient(c)
+		l.closeClient(c, closeBroken)
 		return
 	}
 	if n == len(c.backlog) {
@@ -285,6 +285,10 @@
 	rest := c.backlog[n:]
 	c.writing, c.writingBytes = c.waiting, len(rest)
 	c.backlog, c.waiting = nil, 0
+	c.slow.Store(true)
+	if c.draining.Load() {
+		l.wakeReader(c) // it reads no more
+	}
 	c.finish(l, rest, writeLimit{stalled: clientWrite}, func(err error) event { return flushed{c, err} })
 }
 
@@ -295,10 +299,11 @@
 }
 
 func (e flushed) apply(l *loop) {
-	l.on(&e.c.lifeline, func() {
+	l.on(&e.c.connection, func() {
 		e.c.busy = false
+		e.c.slow.Store(false)
 		if e.err != nil {
-			l.closeClient(e.c)
+			l.closeClient(e.c, writeFailure(e.err))
 			return
 		}
 		answers, bytes := e.c.writing, e.c.writingBytes
@@ -309,17 +314,25 @@
 	})
 }
 
+// writeFailure is why a connection is closed on which a write failed.
+func writeFailure(err error) closeReason {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return closeStalled
+	}
+	return closeBroken
+}
+
 // endIfDone ends the sending on a connection that is not read any more and on which nothing is owed.
 func (l *loop) endIfDone(c *client) {
-	if c.phase != phaseDraining || len(c.slots) > 0 || c.busy || len(c.backlog) > 0 {
+	if c.state != stateDraining || len(c.slots) > 0 || c.busy || len(c.backlog) > 0 {
 		return
 	}
-	c.advance(l, phaseLingering)
+	c.transition(l, stateLingering)
 	if c.conn.CloseWrite() != nil {
-		l.closeClient(c) // already broken
+		l.closeClient(c, closeBroken)
 		return
 	}
-	l.after(&c.lifeline, lingerFor, func() { l.endLinger(c, c.conn.Unsent(), l.clock.now()) })
+	l.after(&c.connection, lingerFor, func() { l.endLinger(c, c.conn.Unsent(), l.clock.now()) })
 }
 
 // endLinger closes a connection whose sending has ended, once the client has all that was sent, or takes nothing for
@@ -329,18 +342,27 @@
 	if left < unsent {
 		progress = now
 	}
-	if left <= finBytes || now-progress >= clientWrite {
-		l.closeClient(c)
+	switch {
+	case left <= finBytes:
+		l.closeClient(c, closeDone)
+		return
+	case now-progress >= clientWrite:
+		l.closeClient(c, closeStalled)
 		return
 	}
-	l.after(&c.lifeline, lingerFor, func() { l.endLinger(c, left, progress) })
+	l.after(&c.connection, lingerFor, func() { l.endLinger(c, left, progress) })
 }
 
 // closeClient ends a connection. What was open on it is over: no one waits for it any more.
-func (l *loop) closeClient(c *client) {
-	if !c.advance(l, phaseClosed) {
+func (l *loop) closeClient(c *client, reason closeReason) {
+	if c.closed() {
 		return
 	}
+	l.guard.closing(c, reason)
+	if l.traced {
+		l.log.Debug("client closed", "connection", c.id, "reason", string(reason), "owed", len(c.slots), "unread_by_it", len(c.backlog)+c.writingBytes)
+	}
+	c.transition(l, stateClosed)
 	delete(l.clients, c)
 	for _, s := range c.slots {
 		if s.req != nil {
@@ -350,35 +372,3 @@
 	l.unsent -= len(c.backlog) + c.writingBytes
 	c.slots, c.backlog, c.writingBytes = nil, nil, 0
 }
-
-// acceptClients takes connections until the listener is closed or the context ends. Only so many are taken
-// ahead of the loop, which bounds the descriptors: hundreds that come at once wait in the kernel.
-func acceptClients(ctx context.Context, ln net.Listener, ahead chan<- struct{}, post func(event), log *slog.Logger) {
-	warnings := logging.Limiter{Every: time.Second}
-	for {
-		conn, err := ln.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
-		if err != nil {
-			if suppressed, ok := warnings.Allow(time.Now()); ok {
-				log.Warn("accepting a connection", "err", err, "suppressed", suppressed)
-			}
-			sleep(ctx, acceptRetry)
-			continue
-		}
-		c, err := newClient(conn)
-		if err != nil {
-			log.Error("accepting a connection", "err", err)
-			conn.Close()
-			continue
-		}
-		select {
-		case ahead <- struct{}{}:
-			post(joined{c})
-		case <-ctx.Done():
-			conn.Close()
-			return
-		}
-	}
-}
--- a/internal/gateway/crossing_test.go
+++ b/internal/gateway/crossing_test.go
@@ -14,11 +14,11 @@
 	l := still(t, unreachable(t))
 	a, _, far := attempted(t, l)
 	c := a.conn
-	answered{c, answer{decide.OK, []byte("$1\r\nv\r\n"), true}}.apply(l)
+	answered{c: c, answer: answer{decide.OK, []byte("$1\r\nv\r\n"), true}}.apply(l)
 	if _, err := io.ReadAtLeast(far, make([]byte, 1<<10), 1); err != nil {
 		t.Fatal(err)
 	}
-	c.used -= settleFor // it has rested
+	c.used -= quiescenceTime // it has reusable
 	far.Close()
 	for c.conn.Quiet() { // until the close has come
 		time.Sleep(time.Millisecond)
@@ -60,9 +60,9 @@
 		r, c := a.req, a.conn
 		if tc.timeOutFirst {
 			l.pool.expire(a)
-			answered{c, value}.apply(l)
+			answered{c: c, answer: value}.apply(l)
 		} else {
-			answered{c, value}.apply(l)
+			answered{c: c, answer: value}.apply(l)
 			l.pool.expire(a)
 		}
 		ends := 0
@@ -72,7 +72,7 @@
 			}
 		}
 		idle := len(a.server.idle)
-		l.closeClient(r.client)
+		l.closeClient(r.client, closeLeft)
 		if got := text(t, client); got != tc.want || ends != 1 || idle != tc.idle {
 			t.Errorf("%s: the client got %q, %d ends were told, %d connections are idle; want %q, 1, %d",
 				name, got, ends, idle, tc.want, tc.idle)
--- a/internal/gateway/reader.go
+++ b/internal/gateway/reader.go
@@ -54,8 +54,9 @@
 		// the reader sets this one before it looks at either.
 		by := r.deadline()
 		err := r.c.conn.SetReadDeadline(by)
-		if r.c.weaned.Load() && len(r.buf) == 0 && r.c.owed.Load() == 0 && r.c.conn.Quiet() {
+		if r.c.draining.Load() && len(r.buf) == 0 && r.mayStop() {
 			r.hand(commands{last: true})
+			r.stayUnread()
 			return
 		}
 		if err == nil {
@@ -90,6 +91,24 @@
 	}
 }
 
+// mayStop reports whether a connection that is to end may do so now: nothing is owed and nothing has come, or the client is slow
+// to take what it is owed. What such a client goes on sending could not be answered in time, and what is left unread is
+// sent again elsewhere.
+func (r *reader) mayStop() bool {
+	return r.c.slow.Load() || r.c.owed.Load() == 0 && r.c.conn.Quiet()
+}
+
+// stayUnread stays with a connection of which nothing more is read, for as long as answers are owed on it: work for a client
+// that leaves must not go on.
+func (r *reader) stayUnread() {
+	for r.c.owed.Load() > 0 {
+		if r.waitForRoom() != nil {
+			r.post(left{r.c})
+			return
+		}
+	}
+}
+
 var errLate = errors.New("protocol error: the command did not end in time")
 
 func (r *reader) deadline() time.Time {
@@ -148,10 +167,10 @@
 	return nil
 }
 
-// seeOut stays with a connection of which nothing more is taken for as long as answers are owed on it: work for a
+// drainReads stays with a connection of which nothing more is taken for as long as answers are owed on it: work for a
 // client that leaves must not go on. What it still sends is dropped, so that its end can come through; of one that
 // sends much the end is looked for.
-func (r *reader) seeOut() {
+func (r *reader) drainReads() {
 	drop := make([]byte, clientBuffer)
 	for most := dropMost; r.c.owed.Load() > 0; {
 		if most <= 0 {
@@ -212,7 +231,7 @@
 func (r *reader) refuse(why error, fault bool) {
 	reply := redcon.AppendError(nil, "ERR "+why.Error())
 	r.hand(commands{got: []received{{reply: reply}}, last: true, fault: fault})
-	r.seeOut()
+	r.drainReads()
 }
 
 // hand posts commands.
--- a/internal/gateway/slow_test.go
+++ b/internal/gateway/slow_test.go
@@ -38,7 +38,7 @@
 	}
 }
 
-// until turns the loop, alarms included, until what is waited for has come.
+// until turns the loop, timers included, until what is waited for has come.
 func until(t *testing.T, l *loop, come func() bool) {
 	t.Helper()
 	for end := time.Now().Add(patience); !come(); {
@@ -46,8 +46,8 @@
 		if wait < 0 {
 			t.Fatal("what is waited for does not come")
 		}
-		if len(l.alarms) > 0 {
-			wait = min(wait, max(0, l.alarms[0].at-l.clock.now()))
+		if len(l.timers) > 0 {
+			wait = min(wait, max(0, l.timers[0].at-l.clock.now()))
 		}
 		select {
 		case <-l.in.ready:
@@ -57,7 +57,7 @@
 			}
 		case <-time.After(wait):
 		}
-		l.ring()
+		l.fireTimers()
 	}
 }
 
@@ -150,7 +150,7 @@
 		second.args = append([][]byte{}, first.cmd.args...)
 		second.args[idArg] = []byte("id-2")
 		commands{c: c, got: []received{{cmd: &second}}}.apply(l)
-		l.closeClient(c)
+		l.closeClient(c, closeLeft)
 		if got := text(t, far); got != "-BUSY 1000\r\n" {
 			t.Errorf("%s: got %q, want a refusal", name, got)
 		}
@@ -185,7 +185,7 @@
 	}
 	join(l, c)
 	step(l)
-	l.wean(c)
+	l.drain(c)
 	if _, err := io.WriteString(far, "NG\r\n"); err != nil {
 		t.Fatal(err)
 	}
@@ -258,3 +258,29 @@
 		}
 	}
 }
+
+// An answer may be handed to the loop before the report that its request was written whole: both come from goroutines of
+// their own. It is the request's answer all the same.
+func TestAnswerOvertakesTheWritersReport(t *testing.T) {
+	l, a, far := large(t)
+	go io.Copy(io.Discard, far)
+	var late []event
+	for c := a.conn; !c.wrote.Load() || len(late) == 0; {
+		late = append(late, next(t, l)) // the report
+	}
+	if _, err := io.WriteString(far, served("v")); err != nil {
+		t.Fatal(err)
+	}
+	e, ok := next(t, l).(answered)
+	if !ok || !e.behind {
+		t.Fatalf("got %+v", e)
+	}
+	client := a.req.client
+	e.apply(l)
+	for _, e := range late {
+		e.apply(l)
+	}
+	if got := l.metrics.Answers.Of(resultServed); got != 1 || a.outcome != decide.OK || len(client.slots) > 0 {
+		t.Errorf("served %d, the attempt ended as %v", got, a.outcome)
+	}
+}
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"winghatch/decide"
@@ -19,7 +20,7 @@
 	// What a server sends right behind an answer, such as a second copy, is on its way as long as the answer was,
 	// give or take the network's jitter. A connection that has stood for this long with nothing in the kernel is
 	// in step; one that is used sooner might bring the next request another one's answer.
-	settleFor = 10 * time.Millisecond
+	quiescenceTime = 10 * time.Millisecond
 	// A server writes an answer in one go. One that has begun and is not whole after this trickles, and the
 	// request has better uses for the time that is left to it.
 	answerWithin = 250 * time.Millisecond
@@ -35,6 +36,20 @@
 	dialRetry    = 10 * time.Millisecond
 )
 
+// serverCloseReason says why a connection to a server was closed.
+type serverCloseReason string
+
+// The reasons.
+const (
+	serverReplaced  serverCloseReason = "replaced"    // the server drains, is gone or has moved
+	serverRoom      serverCloseReason = "room"        // another one needed its descriptor
+	serverIdle      serverCloseReason = "idle"        // nothing used it for long
+	serverOutOfStep serverCloseReason = "out_of_step" // something came unasked, or not all of an answer was read
+	serverBroken    serverCloseReason = "broken"
+	serverGivenUp   serverCloseReason = "given_up" // its attempt was called off or timed out
+	serverShutdown  serverCloseReason = "shutdown"
+)
+
 // upstream is one server.
 type upstream struct {
 	id    string
@@ -47,26 +62,29 @@
 // upConn is a connection to a server. It carries one attempt at a time, as giving an attempt up closes it. Its reader
 // is woken for each answer that is owed.
 type upConn struct {
-	lifeline
+	connection
 	server *upstream
 	att    *attempt // whose answer is owed
 	used   time.Duration
+	wrote  atomic.Bool // the last byte of the latest request was written
 }
 
 func newUpConn(conn net.Conn, s *upstream, now time.Duration) (*upConn, error) {
-	life, err := newLifeline(conn)
-	return &upConn{lifeline: life, server: s, used: now}, err
+	life, err := newConnection(conn)
+	return &upConn{connection: life, server: s, used: now}, err
 }
 
 // attempt is one try at one server.
 type attempt struct {
 	req       *request
 	n         int
-	server    *upstream // nil: unknown to this gateway
+	server    *upstream      // nil: unknown to this gateway
+	place     decide.Server  // its server's entry as the attempt began
+	outcome   decide.Outcome // once it is over
 	at, until time.Duration
 	before    time.Duration // nothing of it may be written later, if not 0
 	conn      *upConn       // nil until it has one
-	expiry    *alarm
+	expiry    *timer
 	whole     bool // the last byte may have been written
 	over      bool
 }
@@ -127,7 +145,7 @@
 
 func (p *pool) closeIdle(s *upstream) {
 	for len(s.idle) > 0 {
-		p.close(s.idle[len(s.idle)-1])
+		p.close(s.idle[len(s.idle)-1], serverReplaced)
 	}
 }
 
@@ -148,7 +166,11 @@
 		p.l.ended(a, decide.NoConnection)
 		return
 	}
-	for c := p.rested(s); c != nil; c = p.rested(s) {
+	if p.tooLate(a) {
+		p.l.ended(a, decide.NoConnection)
+		return
+	}
+	for c := p.reusable(s); c != nil; c = p.reusable(s) {
 		if p.write(c, a) {
 			return
 		}
@@ -163,11 +185,11 @@
 	p.dial(a)
 }
 
-// rested takes the idle connection that was used last, of those that have stood for settleFor.
-func (p *pool) rested(s *upstream) *upConn {
+// reusable takes the idle connection that was used last, of those that have stood for quiescenceTime.
+func (p *pool) reusable(s *upstream) *upConn {
 	now := p.l.clock.now()
 	for i := len(s.idle) - 1; i >= 0; i-- {
-		if c := s.idle[i]; c.used+settleFor <= now {
+		if c := s.idle[i]; c.used+quiescenceTime <= now {
 			s.idle = slices.Delete(s.idle, i, i+1)
 			return c
 		}
@@ -189,7 +211,7 @@
 		}
 	}
 	if oldest != nil {
-		p.close(oldest)
+		p.close(oldest, serverRoom)
 	}
 }
 
@@ -238,6 +260,9 @@
 		}
 	}
 	if d.err != nil {
+		if platform.IsTransient(d.err) {
+			p.l.metrics.SystemCallErrors.Inc(string(platform.CallConnect))
+		}
 		p.dropped(s)
 		p.l.ended(a, dialOutcome(d.err))
 		return
@@ -245,7 +270,7 @@
 	p.all[c] = struct{}{}
 	p.l.tasks.Go(func() { c.read(p.l.in.post) })
 	if s.entry.State != decide.Serving || s.addr != d.addr {
-		p.close(c)
+		p.close(c, serverReplaced)
 		p.l.ended(a, decide.NoConnection)
 		return
 	}
@@ -254,7 +279,7 @@
 		p.park(c)
 		return
 	}
-	if a.before > 0 && p.l.clock.now() > a.before {
+	if p.tooLate(a) {
 		p.l.ended(a, decide.NoConnection)
 		p.park(c)
 		return
@@ -264,6 +289,13 @@
 	}
 }
 
+// tooLate reports whether an attempt must not begin any more: no answer could come in time, or it is a repeat and servers would
+// no longer know it for one. The loop may get to it late.
+func (p *pool) tooLate(a *attempt) bool {
+	now := p.l.clock.now()
+	return now >= a.until || a.before > 0 && now > a.before
+}
+
 // dialOutcome is how an attempt ends whose connection was not made. A server must not be held to be bad for what this
 // machine lacks. Where there is no way to it, and not for a moment only, it is as good as down for this gateway.
 func dialOutcome(err error) decide.Outcome {
@@ -293,25 +325,34 @@
 // of step, or at its end, and takes nothing.
 func (p *pool) write(c *upConn, a *attempt) bool {
 	if !c.conn.Quiet() {
-		p.close(c)
+		p.close(c, serverOutOfStep)
 		return false
 	}
+	if !p.l.guard.begin(p.l, c, a) {
+		p.l.ended(a, decide.Moot)
+		p.park(c)
+		return true
+	}
 	b := a.req.cmd.frame(a.until - p.l.clock.now())
 	n, err := c.try(b)
 	if err != nil {
-		p.close(c)
+		p.close(c, serverBroken)
 		if n > 0 {
 			p.l.ended(a, decide.NoConnection) // broken before the last byte
 		}
 		return n > 0
 	}
 	c.att, a.conn, c.used = a, c, p.l.clock.now()
-	c.rouse()
+	c.wrote.Store(n == len(b))
+	c.notify()
 	if n == len(b) {
 		a.whole = true
 		return true
 	}
-	c.finish(p.l, b[n:], writeLimit{total: p.lastByteWithin(a)}, func(err error) event { return sent{c, a, err} })
+	c.finish(p.l, b[n:], writeLimit{total: p.lastByteWithin(a)}, func(err error) event {
+		c.wrote.Store(err == nil)
+		return sent{c, a, err}
+	})
 	return true
 }
 
@@ -341,7 +382,7 @@
 	if s.err == nil && !s.c.closed() {
 		return
 	}
-	l.pool.close(s.c)
+	l.pool.close(s.c, serverBroken)
 	l.pool.broken(s.a)
 }
 
@@ -357,14 +398,14 @@
 // park keeps a connection for the next attempt.
 func (p *pool) park(c *upConn) {
 	if c.closed() || c.busy {
-		p.close(c)
+		p.close(c, serverOutOfStep)
 		return
 	}
 	c.used = p.l.clock.now()
 	c.server.idle = append(c.server.idle, c)
 	if !p.sweeping && p.idleFor > 0 {
 		p.sweeping = true
-		p.l.at(c.used+p.idleFor, p.sweep)
+		p.l.schedule(c.used+p.idleFor, p.sweep)
 	}
 }
 
@@ -375,21 +416,22 @@
 	next := time.Duration(0)
 	for _, s := range p.servers {
 		for len(s.idle) > 0 && s.idle[0].used+p.idleFor <= now {
-			p.close(s.idle[0])
+			p.close(s.idle[0], serverIdle)
 		}
 		if len(s.idle) > 0 && (next == 0 || s.idle[0].used < next) {
 			next = s.idle[0].used
 		}
 	}
 	if p.sweeping = next > 0; p.sweeping {
-		p.l.at(next+p.idleFor, p.sweep)
+		p.l.schedule(next+p.idleFor, p.sweep)
 	}
 }
 
-func (p *pool) close(c *upConn) {
-	if !c.advance(p.l, phaseClosed) {
+func (p *pool) close(c *upConn, reason serverCloseReason) {
+	if !c.transition(p.l, stateClosed) {
 		return
 	}
+	p.l.metrics.ServerCloses.Inc(string(reason))
 	delete(p.all, c)
 	if i := slices.Index(c.server.idle, c); i >= 0 {
 		c.server.idle = slices.Delete(c.server.idle, i, i+1)
@@ -425,7 +467,7 @@
 		return
 	}
 	if a.conn != nil {
-		p.close(a.conn) // an answer is owed on it, so it can't be used again
+		p.close(a.conn, serverGivenUp) // an answer is owed on it, so it can't be used again
 	}
 	p.l.ended(a, o)
 }
@@ -434,19 +476,23 @@
 type answered struct {
 	c *upConn
 	answer
+	behind bool // it began behind the request's last byte
 }
 
-func (e answered) apply(l *loop) { l.on(&e.c.lifeline, func() { l.pool.answered(e) }) }
+func (e answered) apply(l *loop) { l.on(&e.c.connection, func() { l.pool.answered(e) }) }
 
 func (p *pool) answered(e answered) {
 	c, a, l := e.c, e.c.att, p.l
+	if a != nil && e.behind {
+		a.whole = true // the answer has overtaken the writer's report
+	}
 	if a == nil || !a.whole { // nobody asked, or not all of it: what a server says to that is no answer
 		p.broke(broke{c: c})
 		return
 	}
 	c.att = nil
 	if !e.inStep || c.server.entry.State != decide.Serving {
-		l.pool.close(c)
+		l.pool.close(c, serverOutOfStep)
 	} else {
 		l.pool.park(c)
 	}
@@ -463,11 +509,11 @@
 	spoilt bool
 }
 
-func (e broke) apply(l *loop) { l.on(&e.c.lifeline, func() { l.pool.broke(e) }) }
+func (e broke) apply(l *loop) { l.on(&e.c.connection, func() { l.pool.broke(e) }) }
 
 func (p *pool) broke(e broke) {
 	c, a, l := e.c, e.c.att, p.l
-	l.pool.close(c)
+	l.pool.close(c, serverBroken)
 	switch {
 	case a == nil || c.busy: // the writer still has to tell whether it had written the last byte
 	case e.spoilt && a.whole:
@@ -488,12 +534,12 @@
 		case <-c.gone:
 			return
 		}
-		a, err := c.readAnswer(&buf)
+		a, behind, err := c.readAnswer(&buf)
 		if err != nil {
 			post(broke{c, errors.Is(err, errSpoilt)})
 			return
 		}
-		post(answered{c, a})
+		post(answered{c, a, behind})
 		if !a.inStep {
 			return // the loop closes it
 		}
@@ -503,31 +549,41 @@
 	}
 }
 
-func (c *upConn) readAnswer(buf *[]byte) (answer, error) {
+// readAnswer reads one answer, and tells whether it began behind the request's last byte.
+func (c *upConn) readAnswer(buf *[]byte) (_ answer, behind bool, _ error) {
 	b := *buf
+	renewed := false
 	for begun := false; ; {
 		if len(b) == cap(b) {
 			b = slices.Grow(b, cap(b))
 		}
 		n, err := c.conn.Read(b[len(b):cap(b)])
+		if len(b) == 0 {
+			behind = c.wrote.Load()
+		}
 		b = b[:len(b)+n]
 		*buf = b
 		a, used, fault := parseAnswer(b)
 		switch {
+		case fault == nil && !renewed && errors.Is(err, os.ErrDeadlineExceeded) && !c.conn.Quiet():
+			renewed = true // this gateway was held up: what is missing may be what waits
+			if err := c.conn.SetReadDeadline(time.Now().Add(answerWithin)); err != nil {
+				return a, behind, err
+			}
 		case fault != nil, errors.Is(err, os.ErrDeadlineExceeded):
-			return a, errSpoilt
+			return a, behind, errSpoilt
 		case used > 0:
 			a.value, a.inStep = bytes.Clone(a.value), a.inStep && used == len(b) && err == nil
 			if begun {
 				err = c.conn.SetReadDeadline(time.Time{})
 			}
-			return a, err
+			return a, behind, err
 		case err != nil:
-			return a, err
+			return a, behind, err
 		case !begun:
 			begun = true
 			if err := c.conn.SetReadDeadline(time.Now().Add(answerWithin)); err != nil {
-				return a, err
+				return a, behind, err
 			}
 		}
 	}
