Soak: what is written to a gateway that was killed outright before is free

Only the oracle changes; a connection to the next process counts as before, and both cases stand in its test.

--- a/internal/faultsoak/client.go
+++ b/internal/faultsoak/client.go
@@ -75,6 +75,7 @@
 	gone    bool
 	over    bool // the gateway has ended it
 	errored bool // it got an error about the protocol
+	opened  Moment
 	ended   chan struct{}
 }
 
@@ -106,7 +107,7 @@
 		return nil, fmt.Errorf("connecting to gateway %d: %w", gateway, err)
 	}
 	c.opened.Add(1)
-	return &clientConn{clients: c, gateway: gateway, conn: conn.(*net.TCPConn), ended: make(chan struct{})}, nil
+	return &clientConn{clients: c, gateway: gateway, conn: conn.(*net.TCPConn), opened: Now(), ended: make(chan struct{})}, nil
 }
 
 // start begins to read answers.
@@ -163,7 +164,7 @@
 	cc.mu.Unlock()
 	for _, r := range waits {
 		if r != nil {
-			r.Bad = r.Bad || cc.bad
+			r.Bad, r.Opened = r.Bad || cc.bad, cc.opened
 			cc.clients.oracle.request(r)
 		}
 	}
--- a/internal/faultsoak/fleet.go
+++ b/internal/faultsoak/fleet.go
@@ -307,11 +307,11 @@
 	}
 	f.oracle.violate(RuleCrash, "gateway %d ended by itself %v after its start: %v", g.number, Now().Sub(began), p.err)
 	at := Now()
-	f.replace(g, at, at)
+	f.replace(g, kill{begun: at, spares: at, outright: true})
 }
 
 // replace starts a gateway again after its process has ended, and waits until it is ready.
-func (f *fleet) replace(g *gateway, begun, spares Moment) {
+func (f *fleet) replace(g *gateway, k kill) {
 	script, logs := f.startFaults(), f.logMode()
 	f.log("gateway %d starts with faults %+v, log %s", g.number, script, logs)
 	if err := f.startGateway(g, script, logs); err != nil {
@@ -319,9 +319,8 @@
 		return
 	}
 	f.awaitReady(g)
-	f.oracle.change(func() {
-		f.oracle.kills[g.number] = append(f.oracle.kills[g.number], kill{begun: begun, ended: Now(), spares: spares})
-	})
+	k.ended = Now()
+	f.oracle.change(func() { f.oracle.kills[g.number] = append(f.oracle.kills[g.number], k) })
 }
 
 // awaitReady waits until a gateway answers PING, and lets the front send there.
@@ -372,7 +371,7 @@
 	at := Now()
 	p.signal(syscall.SIGKILL)
 	p.wait(readyMost)
-	f.replace(g, at, Now())
+	f.replace(g, kill{begun: at, spares: Now(), outright: true})
 }
 
 // claim takes a gateway's process to end it. It is nil if somebody else ends it already.
@@ -408,7 +407,7 @@
 	} else {
 		killed = 0 // it ended by itself: nothing is free
 	}
-	f.replace(g, at, killed)
+	f.replace(g, kill{begun: at, spares: killed})
 }
 
 // restartServer ends a card server and starts it again, cold. Its entry tells the new start.
--- a/internal/faultsoak/oracle_test.go
+++ b/internal/faultsoak/oracle_test.go
@@ -48,13 +48,21 @@
 		act   func(s *scene)
 		want  Rule // empty: no rule is broken
 	}{
-		"served":                {ClassSafe, func(s *scene) { s.arrive("a", 1010*testMS, 900, false); s.answer(Served, 1100*testMS) }, ""},
-		"never answered":        {ClassSafe, func(*scene) {}, RuleLost},
-		"closed":                {ClassSafe, func(s *scene) { s.r.ConnEnded = 1400 * testMS }, RuleLost},
-		"closed, unread":        {ClassSafe, func(s *scene) { s.r.ConnEnded, s.r.Crossed = 1010*testMS, true }, ""},
-		"client left":           {ClassSafe, func(s *scene) { s.r.ClientGone = 1010 * testMS }, ""},
-		"killed":                {ClassSafe, func(s *scene) { s.r.ConnEnded = 1300 * testMS; s.kill(1200, 1200) }, ""},
-		"killed, came late":     {ClassSafe, func(s *scene) { s.r.ConnEnded = 1300 * testMS; s.kill(1200, 900) }, RuleLost},
+		"served":            {ClassSafe, func(s *scene) { s.arrive("a", 1010*testMS, 900, false); s.answer(Served, 1100*testMS) }, ""},
+		"never answered":    {ClassSafe, func(*scene) {}, RuleLost},
+		"closed":            {ClassSafe, func(s *scene) { s.r.ConnEnded = 1400 * testMS }, RuleLost},
+		"closed, unread":    {ClassSafe, func(s *scene) { s.r.ConnEnded, s.r.Crossed = 1010*testMS, true }, ""},
+		"client left":       {ClassSafe, func(s *scene) { s.r.ClientGone = 1010 * testMS }, ""},
+		"killed":            {ClassSafe, func(s *scene) { s.r.ConnEnded = 1300 * testMS; s.kill(1200, 1200) }, ""},
+		"killed, came late": {ClassSafe, func(s *scene) { s.r.ConnEnded = 1300 * testMS; s.kill(1200, 900) }, RuleLost},
+		"written to the dead": {ClassSafe, func(s *scene) {
+			s.r.Opened, s.r.ConnEnded = 500*testMS, 1300*testMS
+			s.o.kills[0] = []kill{{begun: 900 * testMS, spares: 910 * testMS, outright: true}}
+		}, ""},
+		"after a restart": {ClassSafe, func(s *scene) {
+			s.r.Opened, s.r.ConnEnded = 950*testMS, 1300*testMS
+			s.o.kills[0] = []kill{{begun: 900 * testMS, spares: 910 * testMS, outright: true}}
+		}, RuleLost},
 		"slow client closed":    {ClassSafe, func(s *scene) { s.r.Slow = true; s.r.ConnEnded = 1400 * testMS }, RuleSlowClient},
 		"late":                  {ClassSafe, func(s *scene) { s.answer(Failed, 2600*testMS) }, RuleLate},
 		"late behind another":   {ClassSafe, func(s *scene) { s.answer(Failed, 2600*testMS); s.r.Previous = 2000 * testMS }, ""},
