--- a/internal/gateway/accept_test.go
+++ b/internal/gateway/accept_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"net"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -78,3 +79,49 @@
 		t.Errorf("%d failures were counted", n)
 	}
 }
+
+// deafListener fails to accept for as long as it is deaf; connections then wait in the kernel's queue.
+type deafListener struct {
+	*net.TCPListener
+	deaf atomic.Bool
+}
+
+func (l *deafListener) Accept() (net.Conn, error) {
+	if l.deaf.Load() {
+		return nil, syscall.ENFILE
+	}
+	return l.TCPListener.Accept()
+}
+
+// Connections that wait in the kernel's queue as the gateway stops accepting are taken all the same: "once a request's last byte
+// is written to a connection that the gateway's machine accepted, the gateway has taken it", and a close would reset them.
+func TestStopTakesWhatWaitsInTheAcceptQueue(t *testing.T) {
+	tcp, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln := &deafListener{TCPListener: tcp.(*net.TCPListener)}
+	b := newBackend(t)
+	r := rigOn(t, ln, long, b)
+	r.ready(t)
+	ln.deaf.Store(true)
+	last := r.dial(t) // which an accept that has begun takes
+	last.send("PING")
+	last.want("+PONG")
+	r.stop()
+	c := r.dial(t)
+	c.look("id")
+	time.Sleep(acceptOn + 100*time.Millisecond)
+	ln.deaf.Store(false)
+	go func() {
+		for x := range b.got {
+			if x.args != nil {
+				x.answer(t, served("v"))
+			}
+		}
+	}()
+	c.want("$v")
+	if err := <-r.done; err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/gateway/rig_test.go
+++ b/internal/gateway/rig_test.go
@@ -188,14 +188,19 @@
 
 func newRig(t *testing.T, aim time.Duration, backends ...*backend) *rig {
 	t.Helper()
-	cfg := testConfig(t, aim, entries("up", backends...))
-	r := &rig{moves: make(chan netip.AddrPort), done: make(chan error, 1)}
-	r.reg, cfg.Discovery = newRegistry(t, cfg.Known)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	r.addr = ln.Addr().String()
+	return rigOn(t, ln, aim, backends...)
+}
+
+// rigOn starts a gateway whose clients connect to a listener of the test's.
+func rigOn(t *testing.T, ln net.Listener, aim time.Duration, backends ...*backend) *rig {
+	t.Helper()
+	cfg := testConfig(t, aim, entries("up", backends...))
+	r := &rig{addr: ln.Addr().String(), moves: make(chan netip.AddrPort), done: make(chan error, 1)}
+	r.reg, cfg.Discovery = newRegistry(t, cfg.Known)
 	ctx, cancel := context.WithCancel(context.Background())
 	r.stop = cancel
 	ending.Go(func() { r.done <- serve(ctx, cfg, r.moves, ln, slog.New(slog.DiscardHandler)) })
--- a/internal/gateway/steady_test.go
+++ b/internal/gateway/steady_test.go
@@ -118,13 +118,19 @@
 }
 
 // A gateway that stops reads nothing more from a client that is slow to take what it is owed: what such a client goes on sending
-// could not be answered before the platform ends the gateway. Left unread, it is sent again elsewhere.
+// could not be answered before the platform ends the gateway. Left unread, it is sent again elsewhere. What was read before is
+// answered, also where more commands have come than may be owed an answer at once.
 func TestStopReadsNoMoreFromASlowClient(t *testing.T) {
+	for _, requests := range []int{100, 200} {
+		t.Run(fmt.Sprint(requests), func(t *testing.T) { stopsReadingFromASlowClient(t, requests) })
+	}
+}
+
+func stopsReadingFromASlowClient(t *testing.T, requests int) {
 	const (
-		servers  = 16
-		requests = 100
-		size     = 60 << 10
-		perRead  = 16 << 10
+		servers = 16
+		size    = 60 << 10
+		perRead = 16 << 10
 	)
 	r := rigOfAnswers(t, servers, size)
 	conn := dialSmallWindow(t, r)
--- a/internal/gateway/watch_test.go
+++ b/internal/gateway/watch_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -214,3 +215,63 @@
 		t.Error(err)
 	}
 }
+
+// A request that waits in the accept queue while a starting gateway hears discovery has no more time than its client has left.
+// The front may not have noticed yet that the process before was killed, and goes on sending.
+func TestRequestBeforeTheStartKeepsItsDeadline(t *testing.T) {
+	const (
+		hold  = 600 * time.Millisecond // discovery's answer takes so long once it has begun
+		given = 2 * time.Second
+	)
+	b := newBackend(t)
+	cfg := testConfig(t, given+time.Second, entries("up", b))
+	cfg.hearFor = patience
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	called := make(chan struct{}, 1)
+	web := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		select {
+		case called <- struct{}{}:
+		default:
+			<-req.Context().Done() // the watch that goes on
+			return
+		}
+		time.Sleep(hold)
+		json.NewEncoder(w).Encode(serverList{Version: 2, Full: true, Servers: entries("up", b)})
+	}))
+	t.Cleanup(func() {
+		web.CloseClientConnections()
+		web.Close()
+	})
+	cfg.Discovery = mustAddr(strings.TrimPrefix(web.URL, "http://"))
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	ended := make(chan error, 1)
+	go func() { ended <- serve(ctx, cfg, nil, ln, slog.New(slog.DiscardHandler)) }()
+	for len(called) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	c := (&rig{addr: ln.Addr().String()}).dial(t)
+	sent := time.Now()
+	c.send("Q.ASK", customer, "id", fmt.Sprintf("c=look,t=p,d=%d,units=1,spread=2,first=0", given.Milliseconds()))
+	x := b.next(t)
+	left := given - time.Since(sent)
+	_, after, _ := strings.Cut(x.args[listArg], "d=")
+	told, _, _ := strings.Cut(after, ",")
+	ms, err := strconv.Atoi(told)
+	if err != nil {
+		t.Fatal(err)
+	}
+	const slack = 150 * time.Millisecond // "at most what is left to the client, with 0.15 s of slack"
+	if got := time.Duration(ms) * time.Millisecond; got > left+slack {
+		t.Errorf("the server is told %v, and the client has %v left", got, left)
+	}
+	x.answer(t, served("v"))
+	c.want("$v")
+	cancel()
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
