A stopping gateway takes the connections that stand in the accept queue

Test before: "connection reset by peer". Change. endAccepting gives the listener a deadline in the past; the acceptor goes on for as long as poll tells that one stands in the queue, then closes it. While accepting still fails that goes on to the time by which all answers are due. A client that connects without end does not keep the listener open: only what stands in the queue as an accept times out does.

--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -5,8 +5,12 @@
 	"errors"
 	"log/slog"
 	"net"
+	"os"
+	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"winghatch/internal/logging"
 	"winghatch/internal/platform"
 	"winghatch/internal/telemetry"
@@ -17,8 +21,42 @@
 	acceptAhead = 16                    // connections that may be taken before the loop has counted them
 	// A connection that an accept waited for so long has just come; with a shorter wait it may have stood in the queue.
 	acceptWaited = 2 * time.Millisecond
+	// Once no more connections are to come, one that stands in the queue all the same is accepted within this.
+	acceptLast = 20 * time.Millisecond
 )
 
+// socketListener is a listener on a socket, as opposed to one in the memory of a test.
+type socketListener interface {
+	net.Listener
+	syscall.Conn
+	SetDeadline(t time.Time) error
+}
+
+// endAccepting ends the taking of connections. Those that stand in the kernel's queue are still taken: this machine has accepted
+// them, so requests on them count as taken, and closing the listener would reset them. The acceptor closes it once the
+// queue is empty.
+func endAccepting(ln net.Listener) {
+	if s, ok := ln.(socketListener); ok && s.SetDeadline(time.Unix(1, 0)) == nil {
+		return
+	}
+	ln.Close()
+}
+
+// queued reports whether a connection stands in the listener's queue.
+func queued(ln net.Listener) bool {
+	s, ok := ln.(socketListener)
+	if !ok {
+		return false
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return false
+	}
+	ready := false
+	err = raw.Control(func(fd uintptr) { ready = pollNow(fd, unix.POLLIN)&unix.POLLIN != 0 })
+	return err == nil && ready
+}
+
 // acceptQueue tells since when connections may have waited in the kernel's queue. While the gateway could not accept, clients
 // connected and wrote their requests, whose time has run since then.
 type acceptQueue struct {
@@ -52,8 +90,8 @@
 	log     *slog.Logger
 }
 
-// run takes connections until the listener is closed or the context ends. Only so many are taken ahead of the loop, which
-// bounds the descriptors: hundreds that come at once wait in the kernel.
+// run takes connections until the listener is closed, or endAccepting was called and its queue is empty, or the context ends.
+// Only so many are taken ahead of the loop, which bounds the descriptors: hundreds that come at once wait in the kernel.
 func (a acceptor) run(ctx context.Context) {
 	var queue acceptQueue
 	warnings := logging.Limiter{Every: time.Second}
@@ -63,6 +101,12 @@
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			if !a.awaitQueued() {
+				return
+			}
+			continue
+		}
 		if err != nil {
 			a.metrics.SystemCallErrors.Inc(string(platform.CallAccept))
 			if suppressed, ok := warnings.Allow(time.Now()); ok {
@@ -82,6 +126,15 @@
 	}
 }
 
+// awaitQueued prepares for a connection that still stands in the queue, or closes the listener and reports false if none does.
+func (a acceptor) awaitQueued() bool {
+	if s, ok := a.ln.(socketListener); ok && queued(s) && s.SetDeadline(time.Now().Add(acceptLast)) == nil {
+		return true
+	}
+	a.ln.Close()
+	return false
+}
+
 // hand gives the loop a connection that came at a time or later. It reports whether the context is still open.
 func (a acceptor) hand(ctx context.Context, conn net.Conn, came time.Time) bool {
 	c, err := newClient(conn)
--- a/internal/gateway/link.go
+++ b/internal/gateway/link.go
@@ -96,14 +96,21 @@
 
 func (s socket) HungUp() (gone bool) {
 	const signs = unix.POLLRDHUP | unix.POLLHUP | unix.POLLERR
-	opErr := s.raw.Control(func(fd uintptr) {
-		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
-		n, err := unix.Poll(fds, 0)
-		gone = err == nil && n > 0 && fds[0].Revents&signs != 0
-	})
+	opErr := s.raw.Control(func(fd uintptr) { gone = pollNow(fd, unix.POLLRDHUP)&signs != 0 })
 	return opErr != nil || gone
 }
 
+// pollNow returns what holds of a descriptor now, of the events asked for and those that poll always tells. It is 0 where this
+// can't be told.
+func pollNow(fd uintptr, events int16) int16 {
+	fds := []unix.PollFd{{Fd: int32(fd), Events: events}}
+	n, err := unix.Poll(fds, 0)
+	if err != nil || n <= 0 {
+		return 0
+	}
+	return fds[0].Revents
+}
+
 // Read reads what has come, and waits for it if nothing has. A passing want of the machine is waited out: it says nothing of
 // the connection, and to end that would lose what is owed on it.
 func (s socket) Read(b []byte) (int, error) {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -106,13 +106,16 @@
 	l.stopBy = now + l.stopGrace()
 	l.log.Info("stopping", "open", len(l.requests))
 	l.schedule(min(now+acceptOn, l.stopBy), func() {
-		s.ln.Close()
+		endAccepting(s.ln)
 		l.closing = true
 		for c := range l.clients {
 			l.drain(c)
 		}
 	})
-	l.schedule(l.stopBy, l.stopAll)
+	l.schedule(l.stopBy, func() {
+		s.ln.Close() // also where accepting still fails
+		l.stopAll()
+	})
 }
 
 // stopGrace is how long after the stop answers can still be given.
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -45,7 +45,12 @@
 	if err != nil {
 		return nil, fmt.Errorf("opening the listener: %w", err)
 	}
-	return listener{ln}, nil
+	tcp, ok := ln.(*net.TCPListener)
+	if !ok {
+		ln.Close()
+		return nil, fmt.Errorf("listener %T is not TCP", ln)
+	}
+	return listener{tcp}, nil
 }
 
 // ListenUDP opens a socket for datagrams.
@@ -66,13 +71,13 @@
 }
 
 // listener is a net.Listener whose Accept may be made to fail.
-type listener struct{ net.Listener }
+type listener struct{ *net.TCPListener }
 
 func (l listener) Accept() (net.Conn, error) {
 	if err := Fault(CallAccept); err != nil {
 		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: os.NewSyscallError("accept4", err)}
 	}
-	return l.Listener.Accept()
+	return l.TCPListener.Accept()
 }
 
 // Now reads the wall clock, which an operator may step. Only use it to compare with other machines' clocks.
