A request that waits for a gateway's start keeps the deadline it came with

The listener is open while a starting gateway hears discovery, 0.1 s or up to 2 s where a long answer has begun; the front goes on sending for 0.8 to 3.9 s after a gateway was killed. acceptQueue began with no past, so what stood in the queue counted as just come: "the server is told 1.989s, and the client has 1.396s left", with a slack of 0.15 s. The queue counts from the opening of the listener, until an accept had to wait.

--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -84,6 +84,7 @@
 // acceptor takes connections and hands them to the loop.
 type acceptor struct {
 	ln      net.Listener
+	queue   acceptQueue
 	ahead   chan<- struct{} // has room for those that the loop has not counted yet
 	post    func(event)
 	metrics *telemetry.Metrics
@@ -93,7 +94,7 @@
 // run takes connections until the listener is closed, or endAccepting was called and its queue is empty, or the context ends.
 // Only so many are taken ahead of the loop, which bounds the descriptors: hundreds that come at once wait in the kernel.
 func (a acceptor) run(ctx context.Context) {
-	var queue acceptQueue
+	queue := a.queue
 	warnings := logging.Limiter{Every: time.Second}
 	for {
 		began := time.Now()
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -51,6 +51,7 @@
 }
 
 func serve(ctx context.Context, cfg Config, moves <-chan netip.AddrPort, ln net.Listener, log *slog.Logger) error {
+	opened := time.Now()
 	l, err := newLoop(cfg, log)
 	if err != nil {
 		return err
@@ -74,7 +75,8 @@
 		// moment, so it is heard before the first request is taken, or nothing new if it has nothing to say.
 		hearing.await(cmp.Or(cfg.hearFor, hearFirst), hearWhole)
 		l.in.post(ready{})
-		acceptor{ln: ln, ahead: l.ahead, post: l.in.post, metrics: l.metrics, log: log}.run(inner)
+		queue := acceptQueue{since: opened} // clients may have connected meanwhile
+		acceptor{ln: ln, queue: queue, ahead: l.ahead, post: l.in.post, metrics: l.metrics, log: log}.run(inner)
 		l.in.post(acceptEnded{}) // behind all connections that it took
 	})
 	wg.Go(func() {
