A stop reads no more of slow clients and drops nothing that was read of them

The two faults of the last red tests lie in the reader's one flag, draining. (a) It counts only once the buffer is empty, which a client that pipelines more than may be owed never has: trace "read 98 buffer 3068 owed 68 slow true". (b) At the time by which all is due, stopAll failed what was open, gave readers 40 ms and forced connections to their end; what a reader held back, as 64 answers were owed to a slow client, was dropped with it, and so would be a command that a reader had in hand in that moment. The loop no longer ends a connection over its reader's head. Of a slow client whose connection is to end only the rest of a begun command is read (missing, resp.go), and it stays slow until then.

--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -42,7 +42,7 @@
 	owed         atomic.Int32 // answers that the reader counts on the loop to give
 	accepted     time.Time    // when it was taken from the listener
 	slow         atomic.Bool  // it has not taken all that was written to it
-	draining     atomic.Bool  // to end between requests: no further command is waited for once all is answered
+	reading      readLimit    // how far it is read; beyond readOn it is to end between requests
 }
 
 func newClient(conn net.Conn) (*client, error) {
@@ -199,13 +199,16 @@
 // drain ends a connection between requests: its reader stops once nothing is owed and nothing more waits in the
 // kernel. Closing at once would lose a request that has come; a reader that stopped while answers are owed would
 // not see the client leave.
-func (l *loop) drain(c *client) {
-	c.draining.Store(true)
+func (l *loop) drain(c *client) { l.limitReading(c, readToRest) }
+
+// limitReading has a connection read no further than a mode says.
+func (l *loop) limitReading(c *client, mode readMode) {
+	c.reading.raise(mode)
 	l.wakeReader(c)
 }
 
 // ending reports that a connection takes no new command, or none once all is answered.
-func (c *client) ending() bool { return c.draining.Load() || c.state > stateOpen }
+func (c *client) ending() bool { return c.reading.get() > readOn || c.state > stateOpen }
 
 // wakeReader makes a reader look again whether it can stop, or hand on more.
 func (l *loop) wakeReader(c *client) {
@@ -242,7 +245,7 @@
 func (l *loop) sent(c *client, answers, bytes int) {
 	l.unsent -= bytes
 	owed := c.owed.Add(int32(-answers))
-	if owed < owedMost && owed+int32(answers) >= owedMost || owed == 0 && c.draining.Load() {
+	if owed < owedMost && owed+int32(answers) >= owedMost || owed == 0 && c.reading.get() > readOn {
 		l.wakeReader(c)
 	}
 }
@@ -286,8 +289,8 @@
 	c.writing, c.writingBytes = c.waiting, len(rest)
 	c.backlog, c.waiting = nil, 0
 	c.slow.Store(true)
-	if c.draining.Load() {
-		l.wakeReader(c) // it reads no more
+	if c.reading.get() > readOn {
+		l.wakeReader(c) // it reads no more than what has begun
 	}
 	c.finish(l, rest, writeLimit{stalled: clientWrite}, func(err error) event { return flushed{c, err} })
 }
@@ -301,7 +304,7 @@
 func (e flushed) apply(l *loop) {
 	l.on(&e.c.connection, func() {
 		e.c.busy = false
-		e.c.slow.Store(false)
+		e.c.slow.Store(e.c.reading.get() > readOn) // one that was slow as its connection is to end is not read on
 		if e.err != nil {
 			l.closeClient(e.c, writeFailure(e.err))
 			return
--- a/internal/gateway/reader.go
+++ b/internal/gateway/reader.go
@@ -54,14 +54,14 @@
 		// the reader sets this one before it looks at either.
 		by := r.deadline()
 		err := r.c.conn.SetReadDeadline(by)
-		if r.c.draining.Load() && len(r.buf) == 0 && r.mayStop() {
+		if err == nil {
+			err = r.handOn()
+		}
+		if err == nil && r.mayStop() {
 			r.hand(commands{last: true})
 			r.stayUnread()
 			return
 		}
-		if err == nil {
-			err = r.handOn()
-		}
 		waits := r.held() // for answers: what the client has sent meanwhile is not late
 		if err == nil && waits {
 			err = r.lookForEnd()
@@ -91,10 +91,18 @@
 	}
 }
 
-// mayStop reports whether a connection that is to end may do so now: nothing is owed and nothing has come, or the client is slow
-// to take what it is owed. What such a client goes on sending could not be answered in time, and what is left unread is
-// sent again elsewhere.
+// mayStop reports whether a connection that is to end may do so now, all that was read whole having been handed on: nothing is
+// owed and nothing has come, or the client is slow to take what it is owed. What such a client goes on sending could not be
+// answered in time, and what is left unread is sent again elsewhere.
 func (r *reader) mayStop() bool {
+	switch mode := r.c.reading.get(); {
+	case mode == readOn:
+		return false
+	case mode == readNoMore:
+		return true
+	case len(r.buf) > 0:
+		return false
+	}
 	return r.c.slow.Load() || r.c.owed.Load() == 0 && r.c.conn.Quiet()
 }
 
@@ -119,18 +127,32 @@
 }
 
 // held reports that so many answers are owed that no further command is handed on.
-func (r *reader) held() bool { return r.c.owed.Load() >= owedMost }
+func (r *reader) held() bool { return r.c.owed.Load() >= owedMost && r.c.reading.get() < readAll }
+
+// readMost is how many bytes may be read now: none while so many answers are owed that nothing is handed on and a command's most
+// has been read ahead, and of a slow client whose connection is to end no more than the rest of a command that has begun.
+func (r *reader) readMost() int {
+	switch {
+	case r.c.reading.get() > readOn && r.c.slow.Load():
+		return missing(r.buf)
+	case r.held():
+		return max(0, commandMost-len(r.buf))
+	}
+	return commandMost
+}
 
 // read takes what has come.
 func (r *reader) read() error {
-	if r.held() && len(r.buf) >= commandMost {
+	most := r.readMost()
+	if most == 0 {
 		return r.waitForRoom()
 	}
 	if len(r.buf) == cap(r.buf) {
 		r.buf = slices.Grow(r.buf, cap(r.buf))
 	}
+	room := r.buf[len(r.buf):cap(r.buf)]
 	r.came.beforeRead(r.clock.now(), r.c.conn.Quiet())
-	n, err := r.c.conn.Read(r.buf[len(r.buf):cap(r.buf)])
+	n, err := r.c.conn.Read(room[:min(len(room), most)])
 	if len(r.buf) == 0 && n > 0 {
 		r.since = time.Now()
 	}
--- a/internal/gateway/resp.go
+++ b/internal/gateway/resp.go
@@ -77,6 +77,38 @@
 	return at, args, nil
 }
 
+// missing is how many bytes are known to be missing of the last command in b, at least 1 where that has begun. It is 0 where b
+// ends with a whole command, or holds what can't be read.
+func missing(b []byte) int {
+	for len(b) > 0 {
+		used, _, err := nextCommand(b, nil)
+		if err != nil {
+			return 0
+		}
+		if used == 0 {
+			return missingOf(b)
+		}
+		b = b[used:]
+	}
+	return 0
+}
+
+// missingOf is the same for one command that has begun and is not whole.
+func missingOf(b []byte) int {
+	count, at, err := header(b, '*', 0, argsMost)
+	for range count {
+		if err != nil || at >= len(b) {
+			break
+		}
+		n, used, headerErr := header(b[at:], '$', 0, valueMost)
+		if headerErr != nil || used == 0 {
+			break
+		}
+		at += used + n + len("\r\n")
+	}
+	return max(1, at-len(b))
+}
+
 var errSpoilt = errors.New("not an answer")
 
 // answer is what a server said to a request.
--- a/internal/gateway/resp_test.go
+++ b/internal/gateway/resp_test.go
@@ -66,3 +66,29 @@
 		t.Errorf("got %d bytes, %q, %v", used, args, err)
 	}
 }
+
+// What is missing of the last command is known as far as its headers have come; no more than that is asked for.
+func TestMissing(t *testing.T) {
+	const whole = "*2\r\n$4\r\nPING\r\n$2\r\nab\r\n"
+	for text, want := range map[string]int{
+		"":                       0,
+		whole:                    0,
+		whole + whole:            0,
+		"*":                      1,
+		"*2\r":                   1,
+		"*2\r\n":                 1,
+		"*2\r\n$4":               1,
+		"*2\r\n$4\r\n":           6,
+		"*2\r\n$4\r\nPI":         4,
+		"*2\r\n$4\r\nPING\r":     1,
+		"*2\r\n$4\r\nPING\r\n":   1,
+		whole[:len(whole)-3]:     3,
+		whole + whole[:14] + "$": 1,
+		"*x\r\n":                 0,
+		whole + "*1\r\n$-7\r\n":  0,
+	} {
+		if got := missing([]byte(text)); got != want {
+			t.Errorf("of %q %d bytes are missing, want %d", text, got, want)
+		}
+	}
+}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -132,18 +132,18 @@
 	return min(longest, shutdownWait) + shutdownGrace - shutdownMargin
 }
 
-// stopAll fails what is still owed, such as requests at servers that hang, and ends all connections: those on which
-// more commands have come than may be owed once these are refused, the others at once.
+// stopAll fails what is still owed, such as requests at servers that hang, and ends all connections once nothing more waits
+// there: what was read ahead, or still comes, is refused. The last word on what was read is the reader's, so that nothing
+// is lost between it and the loop.
 func (l *loop) stopAll() {
 	l.closing = true
 	for c := range l.clients {
 		l.failOpen(c, reasonStopping)
-		l.drain(c)
+		l.limitReading(c, readAll)
 	}
 	l.schedule(l.clock.now()+shutdownLast, func() {
 		for c := range l.clients {
-			c.transition(l, stateDraining)
-			l.endIfDone(c)
+			l.limitReading(c, readNoMore)
 		}
 	})
 	l.schedule(l.clock.now()+shutdownLongest, func() {
