A stopping gateway reads nothing ahead

What is read ahead during a stop can be answered only after what is owed already. While a connection is to end and as much is owed as may be, only the rest of a begun command is read; and at the time by which all is due, nothing but that either (readBegun), where commands were still read for 40 ms to be refused. What is unread is sent again elsewhere. The client's end is then found by poll alone, as it is where the buffer is full.

--- a/internal/gateway/found_test.go
+++ b/internal/gateway/found_test.go
@@ -22,6 +22,8 @@
 		{"more came than may be owed, and SIGTERM", setting{2, 256, 1000, 1, 1, 1000}, []move{{actConnect, 0, 1}, {actSend, 4, 195}}},
 		{"more came than may be owed to a steady slow client, and SIGTERM", setting{2, 256, 1000, 1, 1, 1000},
 			[]move{{actConnect, 0, 1}, {actSend, 0, 131}, {actSip, 0, 0}}},
+		{"commands of a client that turns out to be slow are read during the stop", setting{2, 256, 1000, 1, 1, 1000},
+			[]move{{actConnect, 0, 1}, {actSend, 0, 128}, {actSend, 7, 171}, {actSip, 0, 0}}},
 		{"the rest of a command waited behind what is owed", setting{2, 256, 1000, 1, 1, 20},
 			[]move{{actConnect, 0, 0}, {actSend, 0, 213}}},
 		{"the client's end behind what is not read", setting{30, 256, 1000, 1, 1, 1000},
--- a/internal/gateway/reader.go
+++ b/internal/gateway/reader.go
@@ -102,6 +102,8 @@
 		return true
 	case len(r.buf) > 0:
 		return false
+	case mode == readBegun:
+		return true
 	}
 	return r.c.slow.Load() || r.c.owed.Load() == 0 && r.c.conn.Quiet()
 }
@@ -127,15 +129,17 @@
 }
 
 // held reports that so many answers are owed that no further command is handed on.
-func (r *reader) held() bool { return r.c.owed.Load() >= owedMost && r.c.reading.get() < readAll }
+func (r *reader) held() bool { return r.c.owed.Load() >= owedMost && r.c.reading.get() < readBegun }
 
-// readMost is how many bytes may be read now: none while so many answers are owed that nothing is handed on and a command's most
-// has been read ahead, and of a slow client whose connection is to end no more than the rest of a command that has begun.
+// readMost is how many bytes may be read now. While so many answers are owed that nothing is handed on, a command's most is read
+// ahead, so that the client's end is found. Not so where the connection is to end: what is read then would have to be answered
+// before the platform ends the gateway, so only the rest of a command that has begun is read, and from a slow client as well.
 func (r *reader) readMost() int {
+	mode, held := r.c.reading.get(), r.held()
 	switch {
-	case r.c.reading.get() > readOn && r.c.slow.Load():
+	case mode >= readBegun, mode == readToRest && (held || r.c.slow.Load()):
 		return missing(r.buf)
-	case r.held():
+	case held:
 		return max(0, commandMost-len(r.buf))
 	}
 	return commandMost
--- a/internal/gateway/readmode.go
+++ b/internal/gateway/readmode.go
@@ -7,9 +7,9 @@
 
 const (
 	readOn     readMode = iota // for as long as the client stays
-	readToRest                 // until nothing is owed and nothing waits; of a client that is slow to take what it is owed, only what has begun
-	readAll                    // the same, and commands are handed on however much is owed: they are refused at once
-	readNoMore                 // what has been read whole is handed on, and nothing more is read
+	readToRest                 // until nothing is owed and nothing waits, or the client is slow to take what it is owed
+	readBegun                  // to the end of a command that has begun; all are handed on, however much is owed
+	readNoMore                 // nothing more, also where a command has begun; those that are whole are handed on
 )
 
 // readLimit holds the mode of a connection between the loop, which sets it, and the connection's reader.
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -132,14 +132,14 @@
 	return min(longest, shutdownWait) + shutdownGrace - shutdownMargin
 }
 
-// stopAll fails what is still owed, such as requests at servers that hang, and ends all connections once nothing more waits
-// there: what was read ahead, or still comes, is refused. The last word on what was read is the reader's, so that nothing
-// is lost between it and the loop.
+// stopAll fails what is still owed, such as requests at servers that hang, and ends all connections. What was read ahead is
+// refused, and what is unread is left so: its client sends it again elsewhere. The last word on what was read is the
+// reader's, so that nothing is lost between it and the loop.
 func (l *loop) stopAll() {
 	l.closing = true
 	for c := range l.clients {
 		l.failOpen(c, reasonStopping)
-		l.limitReading(c, readAll)
+		l.limitReading(c, readBegun)
 	}
 	l.schedule(l.clock.now()+shutdownLast, func() {
 		for c := range l.clients {
