A failing test: a newcomer's place ahead of the loop is free before it is counted

TestCrossingsOnceFound failed once: "a crowd joins while connections to servers stand: 81 connections with 112 descriptors", where 80 are the bound. By reading: joined.apply (clients.go) takes the newcomer's place out of ahead first and counts or closes it last, so meanwhile the acceptor may take one more: 64 counted, 16 ahead and the one in hand are 81. The acceptor itself accepts before it has a place, which makes one more.

--- a/internal/gateway/found_test.go
+++ b/internal/gateway/found_test.go
@@ -92,3 +92,24 @@
 		}
 	})
 }
+
+// A connection that was taken holds its place among those ahead of the loop until it is counted or closed: else the acceptor
+// could take one more meanwhile, and descriptors would pass their bound.
+func TestPlaceAheadIsHeldUntilCounted(t *testing.T) {
+	for name, sockets := range map[string]int{"closed for want of room": leastSockets, "counted": 4 * leastSockets} {
+		l := still(t, nil)
+		l.cfg.Sockets = sockets
+		near, _ := newWire(1 << 10)
+		held := -1
+		near.onClose = func() { held = len(l.ahead) }
+		c, err := newClient(near)
+		if err != nil {
+			t.Fatal(err)
+		}
+		join(l, c)
+		counted := len(l.clients) == 1
+		if counted == (sockets == leastSockets) || !counted && held != 1 || len(l.ahead) != 0 {
+			t.Errorf("%s: counted %v, %d places held as it was closed, %d afterwards", name, counted, held, len(l.ahead))
+		}
+	}
+}
