Descriptors keep their bound while a newcomer is counted

Change. joined.apply frees the place last; the acceptor takes a place and then accepts, in functions of one step each (place, next, hand). TestRequestSentWhileAcceptFailed has its post free the place, as the loop does; without that the acceptor waits for one for good (seen: 600 s). Nothing of what it wants has changed. The package's tests pass with -race; TestCrossings passes.

--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -85,7 +85,7 @@
 type acceptor struct {
 	ln      net.Listener
 	queue   acceptQueue
-	ahead   chan<- struct{} // has room for those that the loop has not counted yet
+	ahead   chan struct{} // holds one for each connection that was taken, or is waited for, and that the loop has not counted
 	post    func(event)
 	metrics *telemetry.Metrics
 	log     *slog.Logger
@@ -96,35 +96,53 @@
 func (a acceptor) run(ctx context.Context) {
 	queue := a.queue
 	warnings := logging.Limiter{Every: time.Second}
-	for {
-		began := time.Now()
-		conn, err := a.ln.Accept()
-		if errors.Is(err, net.ErrClosed) {
+	for a.place(ctx, &queue) {
+		conn, came := a.next(ctx, &queue, &warnings)
+		if conn == nil {
 			return
 		}
-		if errors.Is(err, os.ErrDeadlineExceeded) {
+		a.hand(conn, came)
+	}
+}
+
+// place waits for a place ahead of the loop. It reports false if the context has ended.
+func (a acceptor) place(ctx context.Context, queue *acceptQueue) bool {
+	began := time.Now()
+	select {
+	case a.ahead <- struct{}{}:
+	case <-ctx.Done():
+		return false
+	}
+	if time.Since(began) >= acceptWaited { // the loop had not counted those before
+		queue.heldUp(began)
+	}
+	return true
+}
+
+// next accepts a connection, and tells when it came at the earliest. It returns nil once no more are to be taken.
+func (a acceptor) next(ctx context.Context, queue *acceptQueue, warnings *logging.Limiter) (net.Conn, time.Time) {
+	for ctx.Err() == nil {
+		began := time.Now()
+		conn, err := a.ln.Accept()
+		switch {
+		case err == nil:
+			return conn, queue.accepted(began, time.Now())
+		case errors.Is(err, net.ErrClosed):
+			return nil, time.Time{}
+		case errors.Is(err, os.ErrDeadlineExceeded):
 			if !a.awaitQueued() {
-				return
+				return nil, time.Time{}
 			}
-			continue
-		}
-		if err != nil {
+		default:
 			a.metrics.SystemCallErrors.Inc(string(platform.CallAccept))
 			if suppressed, ok := warnings.Allow(time.Now()); ok {
 				a.log.Warn("accepting a connection", "err", err, "suppressed", suppressed)
 			}
 			queue.heldUp(began)
 			sleep(ctx, acceptRetry)
-			continue
-		}
-		taken := time.Now()
-		if !a.hand(ctx, conn, queue.accepted(began, taken)) {
-			return
-		}
-		if time.Since(taken) >= acceptWaited { // the loop had not counted those before
-			queue.heldUp(taken)
 		}
 	}
+	return nil, time.Time{}
 }
 
 // awaitQueued prepares for a connection that still stands in the queue, or closes the listener and reports false if none does.
@@ -136,21 +154,15 @@
 	return false
 }
 
-// hand gives the loop a connection that came at a time or later. It reports whether the context is still open.
-func (a acceptor) hand(ctx context.Context, conn net.Conn, came time.Time) bool {
+// hand gives the loop a connection that came at a time or later, in the place that was taken for it.
+func (a acceptor) hand(conn net.Conn, came time.Time) {
 	c, err := newClient(conn)
 	if err != nil {
 		a.log.Error("accepting a connection", "err", err)
 		conn.Close()
-		return true
+		<-a.ahead
+		return
 	}
 	c.accepted = came
-	select {
-	case a.ahead <- struct{}{}:
-		a.post(joined{c})
-		return true
-	case <-ctx.Done():
-		conn.Close()
-		return false
-	}
+	a.post(joined{c})
 }
--- a/internal/gateway/accept_test.go
+++ b/internal/gateway/accept_test.go
@@ -66,8 +66,12 @@
 	m := telemetry.New()
 	var came time.Time
 	begun := time.Now()
-	a := acceptor{ln: &failingListener{failures: failures, conns: []net.Conn{near}}, ahead: make(chan struct{}, 1), metrics: m,
-		log: slog.New(slog.DiscardHandler), post: func(e event) { came = e.(joined).c.accepted }}
+	ahead := make(chan struct{}, 1)
+	a := acceptor{ln: &failingListener{failures: failures, conns: []net.Conn{near}}, ahead: ahead, metrics: m,
+		log: slog.New(slog.DiscardHandler), post: func(e event) {
+			came = e.(joined).c.accepted
+			<-ahead // as the loop does
+		}}
 	a.run(context.Background())
 	if waited := time.Since(begun); waited < failures*acceptRetry {
 		t.Errorf("tried again at once: %v", waited)
--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -123,7 +123,7 @@
 type joined struct{ c *client }
 
 func (e joined) apply(l *loop) {
-	<-l.ahead
+	defer func() { <-l.ahead }() // its place is free once it is counted or closed
 	if !l.ready {
 		l.guard.broken(ruleStart, "connection", e.c.id)
 	}
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -59,7 +59,7 @@
 	pool     pool
 	clients  map[*client]struct{}
 	limits   clientLimits
-	ahead    chan struct{} // holds one for each connection that was taken and is not counted yet
+	ahead    chan struct{} // holds one for each connection that was taken, or is waited for, and is not counted yet
 	held     int           // bytes of the commands of open requests
 	unsent   int           // bytes of answers that clients have not taken
 	stopBy   time.Duration // 0, or when the last answers are due, as the gateway has been told to stop
