The soak holds stops up and slows discovery down; three failing tests

What the agent gets at discovery's return counts as told at once, and the grace of a drain is 0.25 s and 0.05 s of slack.

--- a/internal/faultsoak/behaviour.go
+++ b/internal/faultsoak/behaviour.go
@@ -22,6 +22,7 @@
 	{"large body", 3, largeBodyClient},
 	{"slow writer", 2, slowWriterClient},
 	{"idle", 2, idleClient},
+	{"newcomer", 10, newcomerClient},
 }
 
 func usualClient(c *clients, gateway int) {
@@ -35,6 +36,19 @@
 	}
 }
 
+// newcomerClient asks once, on a connection of its own.
+func newcomerClient(c *clients, gateway int) {
+	cc, err := c.dial(gateway)
+	if err != nil {
+		return
+	}
+	cc.start()
+	r, b := c.newRequest(gateway, c.drawClass(), "", "")
+	if cc.write(b, r) == nil && cc.settled(c.answerWait()) {
+		c.put(cc)
+	}
+}
+
 // pipelineClient sends many commands at once, some of them no requests.
 func pipelineClient(c *clients, gateway int) {
 	cc, err := c.dial(gateway)
--- a/internal/faultsoak/discovery.go
+++ b/internal/faultsoak/discovery.go
@@ -22,8 +22,12 @@
 	DiscoverySilent DiscoveryMode = "silent" // nothing is answered
 	DiscoveryBusy   DiscoveryMode = "busy"   // calls are turned away
 	DiscoveryReset  DiscoveryMode = "reset"  // connections end under the calls
+	DiscoverySlow   DiscoveryMode = "slow"   // answers begin at once and take their time
 )
 
+// slowAnswer is how long a slow answer takes once it has begun, as a long list does on a busy machine.
+const slowAnswer = 700 * time.Millisecond
+
 // Entry is a card server in a list.
 type Entry struct {
 	ID        string  `json:"id"`
@@ -123,7 +127,7 @@
 		switch {
 		case mode == DiscoveryBusy || mode == DiscoveryReset:
 			return List{}, mode, true
-		case mode == DiscoveryServe && !silent && (len(list.Servers) > 0 || !hasAfter || expired):
+		case (mode == DiscoveryServe || mode == DiscoverySlow) && !silent && (len(list.Servers) > 0 || !hasAfter || expired):
 			return list, mode, true
 		}
 		select {
@@ -171,6 +175,13 @@
 	case mode == DiscoveryReset:
 		panic(http.ErrAbortHandler) // ends the connection
 	}
+	if mode == DiscoverySlow {
+		w.WriteHeader(http.StatusOK)
+		if http.NewResponseController(w).Flush() != nil {
+			return
+		}
+		time.Sleep(slowAnswer)
+	}
 	if json.NewEncoder(w).Encode(list) != nil {
 		return
 	}
--- a/internal/faultsoak/gateway.go
+++ b/internal/faultsoak/gateway.go
@@ -229,7 +229,12 @@
 	}
 	p.signal(syscall.SIGTERM)
 	at := Now()
-	time.Sleep(f.rng.between(200*time.Millisecond, 400*time.Millisecond))
+	front := f.rng.between(newConnectionsLeast, newConnectionsMost)
+	if f.rng.chance(0.5) {
+		front = newConnectionsMost
+		f.clients.tasks.Go(func() { f.holdUpAtTheStop(g, p) })
+	}
+	time.Sleep(front)
 	f.clients.setUsable(g.number, false)
 	grace := min(f.settings.Deadline, shutdownLongest) + shutdownMore
 	killed := at
@@ -244,6 +249,23 @@
 	f.replace(g, kill{begun: at, spares: killed})
 }
 
+// holdUpAtTheStop holds a stopping gateway up, as long as the pages allow, while the last new connections come.
+func (f *fleet) holdUpAtTheStop(g *gateway, p *process) {
+	time.Sleep(f.rng.between(newConnectionsMost-50*time.Millisecond, newConnectionsMost-10*time.Millisecond))
+	p.signal(syscall.SIGSTOP)
+	for range 10 {
+		f.clients.tasks.Go(func() { newcomerClient(f.clients, g.number) })
+	}
+	time.Sleep(f.rng.between(100*time.Millisecond, heldUp))
+	p.signal(syscall.SIGCONT)
+}
+
+// "For 0.2 to 0.4 s new connections go on coming" after SIGTERM.
+const (
+	newConnectionsLeast = 200 * time.Millisecond
+	newConnectionsMost  = 400 * time.Millisecond
+)
+
 // violationsMetric is the name of the counters of invariants that a gateway found broken.
 const violationsMetric = "gateway_invariant_violations_total"
 
--- a/internal/faultsoak/trouble.go
+++ b/internal/faultsoak/trouble.go
@@ -40,6 +40,8 @@
 	{"discovery silent", 2, discoveryTrouble(DiscoverySilent)},
 	{"discovery turns away", 2, discoveryTrouble(DiscoveryBusy)},
 	{"discovery resets", 1, discoveryTrouble(DiscoveryReset)},
+	{"discovery is slow", 2, discoveryTrouble(DiscoverySlow)},
+	{"kill of a gateway, discovery is slow", 2, killWhileDiscoveryIsSlow},
 	{"watches fall silent", 2, dropWatches},
 	{"slow readers", 3, slowReaders},
 	{"crowd of pipelines", 3, crowdOfPipelines},
@@ -106,6 +108,23 @@
 func plannedRestart(f *fleet) { f.restartGateway(f.anyGateway()) }
 func killOne(f *fleet)        { f.killGateway(f.anyGateway()) }
 
+// killWhileDiscoveryIsSlow kills a gateway whose next process has to wait for what its list lacks, while clients connect to it:
+// the front has not noticed yet that the process before is gone.
+func killWhileDiscoveryIsSlow(f *fleet) {
+	restartOneServer(f) // so that there is something to tell
+	f.discovery.send(DiscoveryCommand{Mode: DiscoverySlow})
+	g := f.anyGateway()
+	f.clients.tasks.Go(func() {
+		for range 40 {
+			f.clients.tasks.Go(func() { newcomerClient(f.clients, g.number) })
+			time.Sleep(30 * time.Millisecond)
+		}
+	})
+	f.killGateway(g)
+	time.Sleep(time.Second)
+	f.discovery.send(DiscoveryCommand{Mode: DiscoveryServe})
+}
+
 // pauseGateway holds a gateway up for as long as the pages allow.
 func pauseGateway(f *fleet) {
 	g := f.anyGateway()
--- a/internal/gateway/arrival_test.go
+++ b/internal/gateway/arrival_test.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"io"
+	"strings"
 	"testing"
 	"time"
 )
@@ -34,3 +36,24 @@
 		t.Errorf("nothing is left, and marks are %v", a.marks)
 	}
 }
+
+// A client that has left asks for nothing any more, though its requests are still to be read: its end lies behind them. It may
+// have stood in the accept queue, or the gateway may have been held up.
+func TestNothingIsReadForAClientThatLeft(t *testing.T) {
+	cfg := testConfig(t, long, nil)
+	near, far := pair(t)
+	c := clientOn(t, near)
+	if _, err := io.WriteString(far, strings.Repeat(asked("id"), 40)); err != nil {
+		t.Fatal(err)
+	}
+	far.Close()
+	for !c.conn.HungUp() {
+		time.Sleep(time.Millisecond)
+	}
+	var posted []event
+	r := reader{c: c, cfg: &cfg, clock: newClock(), limits: usualLimits, post: func(e event) { posted = append(posted, e) }}
+	r.run()
+	if len(posted) != 1 || posted[0] != (left{c}) {
+		t.Errorf("%d events were posted, the first is a %T; want only the client's end", len(posted), posted[0])
+	}
+}
--- a/internal/gateway/list_test.go
+++ b/internal/gateway/list_test.go
@@ -188,3 +188,26 @@
 		t.Errorf("got %v, want the call given up", err)
 	}
 }
+
+// An agent that has begun to answer is not silent: a long list on a busy machine takes more time than a call that tells whether
+// discovery is up. Given up in the middle again and again, it would never be read.
+func TestBegunAnswerOfAnAgentIsReadToItsEnd(t *testing.T) {
+	const check = 50 * time.Millisecond
+	web := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		fmt.Fprint(w, `{"version":2,"full":true,`)
+		http.NewResponseController(w).Flush()
+		select {
+		case <-time.After(4 * check):
+			fmt.Fprint(w, `"servers":[]}`)
+		case <-req.Context().Done():
+		}
+	}))
+	t.Cleanup(web.Close)
+	w := newWatcher(mustAddr(strings.TrimPrefix(web.URL, "http://")), func(event) {}, slog.New(slog.DiscardHandler))
+	defer w.client.CloseIdleConnections()
+	w.agent = true
+	list, err := w.fetch(context.Background(), w.base, check)
+	if err != nil || list.Version != 2 || !list.Full {
+		t.Errorf("got %+v, %v", list, err)
+	}
+}
--- a/internal/watch/pacer_test.go
+++ b/internal/watch/pacer_test.go
@@ -174,3 +174,19 @@
 		}
 	}
 }
+
+// What an agent gets when discovery returns counts as told at once, and a drain has to be kept 0.25 s later: calls that it does not
+// answer follow one another so closely that the next one leaves time for its answer. That holds from the first call of a
+// process on, which may begin while discovery is down.
+func TestSilentAgentIsAskedAgainInTime(t *testing.T) {
+	const grace, answer = 250 * time.Millisecond, 50 * time.Millisecond
+	x := &path{p: New(Config{Agent: true, Held: true, Version: 1}, newSource(1))}
+	x.next()
+	for n := range 50 {
+		before := x.now
+		x.ends(x.call.Within, Result{End: TimedOut})
+		if gap := x.now - before; gap > grace-answer {
+			t.Fatalf("call %d in vain: the next one is out after %v, want %v at most", n+1, gap, grace-answer)
+		}
+	}
+}
