A client's end behind unread requests is found before they are handed on

Cause. reader.run read up to 1 KB, handed the commands on, and came to the client's end with the next read. After each read the reader looks at what is unread, as it did before each read; that look serves the next read as well, if it is no older than 1 ms, so there are no more system calls. If something is unread, poll tells whether the client's end is behind it.

--- a/internal/gateway/reader.go
+++ b/internal/gateway/reader.go
@@ -16,6 +16,7 @@
 const (
 	lookEvery = 25 * time.Millisecond // a client's end that can't be read is looked for so often
 	dropMost  = 256 << 10             // bytes that are read and dropped after the last command
+	peekFresh = time.Millisecond      // a look at what is unread counts for so long
 )
 
 // clientLimits bound how long a connection may hold a descriptor and give nothing for it.
@@ -35,12 +36,14 @@
 	clock  clock
 	limits clientLimits
 	post   func(event)
-	buf    []byte    // of a command that is not whole yet
-	args   [][]byte  // memory for the next command's
-	since  time.Time // the start, the last whole command, or the first byte of the one in buf
-	heard  bool      // there was a whole command
-	came   arrivals  // of the bytes in buf
-	looked time.Time // when the client's end was last looked for while too many answers were owed
+	buf    []byte        // of a command that is not whole yet
+	args   [][]byte      // memory for the next command's
+	since  time.Time     // the start, the last whole command, or the first byte of the one in buf
+	heard  bool          // there was a whole command
+	came   arrivals      // of the bytes in buf
+	quiet  bool          // nothing was unread in the kernel ...
+	seenAt time.Duration // ... at this time of the clock
+	looked time.Time     // when the client's end was last looked for while too many answers were owed
 }
 
 // run reads until the client leaves, breaks the framing or lets a time limit pass. One read deadline holds all
@@ -154,17 +157,27 @@
 	if len(r.buf) == cap(r.buf) {
 		r.buf = slices.Grow(r.buf, cap(r.buf))
 	}
+	if !r.quiet || r.clock.now()-r.seenAt > peekFresh {
+		r.peek()
+	}
 	room := r.buf[len(r.buf):cap(r.buf)]
-	r.came.beforeRead(r.clock.now(), r.c.conn.Quiet())
+	r.came.beforeRead(r.seenAt, r.quiet)
 	n, err := r.c.conn.Read(room[:min(len(room), most)])
 	if len(r.buf) == 0 && n > 0 {
 		r.since = time.Now()
 	}
 	r.buf = r.buf[:len(r.buf)+n]
 	r.came.afterRead(r.clock.now(), n, len(r.buf))
+	r.peek()
+	if err == nil && !r.quiet && r.c.conn.HungUp() { // work for a client that has left must not begin
+		return io.ErrUnexpectedEOF
+	}
 	return err
 }
 
+// peek looks whether anything is unread, be it the client's end.
+func (r *reader) peek() { r.seenAt, r.quiet = r.clock.now(), r.c.conn.Quiet() }
+
 // waitForRoom waits for a while until fewer answers are owed. The client's end lies behind what is unread, so it is
 // looked for.
 func (r *reader) waitForRoom() error {
