An agent's answer that has begun is read to its end

Cause. fetch gave a call to an agent up 0.25 s after it began (0.5 s past its wait for a watch), the body included. The time limit of a call to an agent holds until its answer begins; from then on it has 2.2 s, as long as any call.

--- a/internal/watch/pacer.go
+++ b/internal/watch/pacer.go
@@ -40,6 +40,9 @@
 )
 
 const (
+	// AnswerWithin is how long the answer of an agent may take once it has begun. It is the longest that any call is given.
+	AnswerWithin = patienceMost
+
 	// Bound is within what a change has to be told, counted as the package comment says; the operators' term.
 	Bound = 6 * time.Second
 	// reserve is kept of the bound for the last call's line, answer and posting.
