A silent agent is asked again within the grace of a drain, from the first call on

A call in vain took 0.25 s and a pause of 0.05 s, so a change was heard 0.30 s after it was told and later; and the first call of a process was a watch, which finds out after 4.5 s that the agent is silent. With an agent a call that need not wait is given up after 0.2 s and followed by the next without a pause; the first call of a process need not wait. An agent answers that at once, so a start with a list of its own no longer waits 0.1 s for news that there are none. Set-ups follow the first call: TestDiscoveryMoves and TestResetWatchMissesNothing want it before the watch, and the same of the watch; the tests' discovery answers a call that need not wait, as the protocol says (it let all wait); TestRequestBeforeTheStartKeepsItsDeadline has its slow answer begin at once. The packages' tests pass with -race; TestCrossings passes.

--- a/internal/gateway/reload_test.go
+++ b/internal/gateway/reload_test.go
@@ -37,6 +37,7 @@
 	r := newRig(t, long, a)
 	c := r.dial(t)
 	serveOne(t, c, "id-1", a)
+	r.reg.wantCall(t, "after=1&wait_ms=0")
 	r.reg.wantCall(t, "after=1&wait_ms=4000") // this one waits
 	second, at2 := newRegistry(t, serverList{Version: 9, Full: true, Servers: entries("draining", a)})
 	third, at3 := newRegistry(t, serverList{Version: 0, Full: true, Servers: entries("up", b)})
--- a/internal/gateway/rig_test.go
+++ b/internal/gateway/rig_test.go
@@ -151,6 +151,10 @@
 			json.NewEncoder(w).Encode(list)
 			return
 		}
+		if req.URL.Query().Get("wait_ms") == "0" {
+			json.NewEncoder(w).Encode(serverList{Version: list.Version})
+			return
+		}
 		select {
 		case <-changed:
 		case <-req.Context().Done():
--- a/internal/gateway/watch_test.go
+++ b/internal/gateway/watch_test.go
@@ -96,7 +96,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { ln.Close() })
-	queries := make(chan string, 2)
+	queries := make(chan string, 3)
 	go func() {
 		for n := 0; ; n++ {
 			conn, err := ln.Accept()
@@ -111,7 +111,12 @@
 			}
 			line, _, _ := strings.Cut(string(buf[:k]), "\r\n")
 			queries <- line
-			if n == 0 { // a reset, not an end
+			if n == 0 { // whether discovery is up
+				conn.Write([]byte("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n{\"version\":41,\"full\":false,\"servers\":[]}"))
+				conn.Close()
+				continue
+			}
+			if n == 1 { // a reset, not an end
 				conn.(*net.TCPConn).SetLinger(0)
 				conn.Close()
 				continue
@@ -141,8 +146,10 @@
 	if n := (<-told).(fleetNews); n.list.Version != 42 || n.list.Servers[0].State != "draining" {
 		t.Errorf("told %+v", n)
 	}
-	if first, second := <-queries, <-queries; !strings.Contains(first, "after=41&wait_ms=4000") || !strings.Contains(second, "after=41&wait_ms=0") {
-		t.Errorf("called %q, then %q", first, second)
+	for n, want := range []string{"after=41&wait_ms=0", "after=41&wait_ms=4000", "after=41&wait_ms=0"} {
+		if got := <-queries; !strings.Contains(got, want) {
+			t.Errorf("call %d is %q, want %s", n+1, got, want)
+		}
 	}
 }
 
@@ -238,6 +245,8 @@
 			<-req.Context().Done() // the watch that goes on
 			return
 		}
+		w.WriteHeader(http.StatusOK)
+		http.NewResponseController(w).Flush()
 		time.Sleep(hold)
 		json.NewEncoder(w).Encode(serverList{Version: 2, Full: true, Servers: entries("up", b)})
 	}))
--- a/internal/watch/pacer.go
+++ b/internal/watch/pacer.go
@@ -20,8 +20,8 @@
 // So the longest is 4.5 s with a full line in front, but for a silent watch, which leaves 1.5 s for the line, and for a
 // refusal after a call in vain or a silent watch, which leaves 1 s. No path is longer unless discovery refuses twice
 // after the moment that the bound counts from. One that goes on refusing is serving others; a gateway tries again 0.8,
-// 2.4 and 4.9 s after the first refusal at the latest. With an agent of the gateway's own a call in vain takes 0.25 s
-// and each pause but those after refusals 0.05 s.
+// 2.4 and 4.9 s after the first refusal at the latest. With an agent of the gateway's own a call in vain takes 0.2 s
+// and is followed by no pause; each other pause but those after refusals is 0.05 s at most.
 //
 // # What discovery needs
 //
@@ -31,6 +31,13 @@
 // told within 9 s and all within 15 s in the model of the tests. Under n/4 calls are refused for as long as that lasts,
 // and gateways are told in turn: those refused make no more than n/1.25 calls a second all together, and those in line
 // are not given up, so that discovery works in vain for next to nobody.
+//
+// # Agents
+//
+// An agent on the gateway's own machine is silent while discovery is down, and what it gets at the return counts as told at
+// once. So the calls that find out whether it is back follow one another without a pause: until the next one is out 0.2 s go by
+// at most, which the grace of a drain, 0.25 s, has to cover. The first call of a process is such a call as well: a watch can't
+// tell a silent agent from a fleet that does not change.
 package watch
 
 import (
@@ -50,14 +57,14 @@
 
 	watchWait  = 4 * time.Second        // a watch waits so long for news ...
 	watchOver  = 500 * time.Millisecond // ... and is given up so long after: discovery that is down says nothing
-	agentCheck = 250 * time.Millisecond // a call to an agent that need not wait is given up after this
+	agentCheck = 200 * time.Millisecond // a call to an agent that need not wait is given up after this
 	// On a call that was given up discovery works all the same, and who gives up while it stands in line comes back
 	// to the end of the same line. So the time given is that of a full line, which was seen to be 2 s, and the way
 	// there and back; a shorter one that was configured doubles to it. In the model, 1 s at first made up to 800 of
 	// 300 gateways' calls vain in 30 s, 2.2 s none.
 	patienceMost = 2200 * time.Millisecond
 
-	// Retry is the pause after the first failure, after each one with an agent, and before discovery that does not
+	// Retry is the pause after the first failure, after each one that an agent tells at once, and before discovery that does not
 	// wait is asked again. From one failure to the next it doubles, where discovery is asked for lists.
 	Retry     = 50 * time.Millisecond
 	retryMost = time.Second
@@ -83,7 +90,7 @@
 	Version uint64        // of the list that is held
 	Wait    time.Duration // of a watch; 4 s
 	Over    time.Duration // past its wait a watch is given up; 0.5 s
-	Check   time.Duration // a call that does not wait is given up, at first; 2.2 s, with an agent 0.25 s
+	Check   time.Duration // a call that does not wait is given up, at first; 2.2 s, with an agent 0.2 s
 }
 
 // Kind says what a call asks for.
@@ -165,6 +172,7 @@
 	}
 	p := &Pacer{cfg: cfg, rng: rng, held: cfg.Held, version: cfg.Version}
 	p.calm()
+	p.failing = cfg.Agent // it has not been heard yet
 	return p
 }
 
@@ -244,8 +252,11 @@
 		p.patience = min(2*p.patience, max(patienceMost, p.cfg.Check))
 	}
 	p.failing = true
-	if p.cfg.Agent || p.call.Kind == Watch { // the watch's time is spent, and watches of a fleet end at different times
+	switch {
+	case p.call.Kind == Watch: // its time is spent, and watches of a fleet end at different times
 		return Retry
+	case p.cfg.Agent:
+		return 0
 	}
 	return Retry + time.Duration(p.rng.Int64N(int64(vainMost-Retry)))
 }
