--- a/internal/gateway/found_test.go
+++ b/internal/gateway/found_test.go
@@ -20,6 +20,10 @@
 	}
 	all := []found{
 		{"more came than may be owed, and SIGTERM", setting{2, 256, 1000, 1, 1, 1000}, []move{{actConnect, 0, 1}, {actSend, 4, 195}}},
+		{"more came than may be owed to a steady slow client, and SIGTERM", setting{2, 256, 1000, 1, 1, 1000},
+			[]move{{actConnect, 0, 1}, {actSend, 0, 131}, {actSip, 0, 0}}},
+		{"commands of a client that turns out to be slow are read during the stop", setting{2, 256, 1000, 1, 1, 1000},
+			[]move{{actConnect, 0, 1}, {actSend, 0, 128}, {actSend, 7, 171}, {actSip, 0, 0}}},
 		{"the rest of a command waited behind what is owed", setting{2, 256, 1000, 1, 1, 20},
 			[]move{{actConnect, 0, 0}, {actSend, 0, 213}}},
 		{"the client's end behind what is not read", setting{30, 256, 1000, 1, 1, 1000},
@@ -88,3 +92,24 @@
 		}
 	})
 }
+
+// A connection that was taken holds its place among those ahead of the loop until it is counted or closed: else the acceptor
+// could take one more meanwhile, and descriptors would pass their bound.
+func TestPlaceAheadIsHeldUntilCounted(t *testing.T) {
+	for name, sockets := range map[string]int{"closed for want of room": leastSockets, "counted": 4 * leastSockets} {
+		l := still(t, nil)
+		l.cfg.Sockets = sockets
+		near, _ := newWire(1 << 10)
+		held := -1
+		near.onClose = func() { held = len(l.ahead) }
+		c, err := newClient(near)
+		if err != nil {
+			t.Fatal(err)
+		}
+		join(l, c)
+		counted := len(l.clients) == 1
+		if counted == (sockets == leastSockets) || !counted && held != 1 || len(l.ahead) != 0 {
+			t.Errorf("%s: counted %v, %d places held as it was closed, %d afterwards", name, counted, held, len(l.ahead))
+		}
+	}
+}
--- a/internal/gateway/reader.go
+++ b/internal/gateway/reader.go
@@ -16,6 +16,7 @@
 const (
 	lookEvery = 25 * time.Millisecond // a client's end that can't be read is looked for so often
 	dropMost  = 256 << 10             // bytes that are read and dropped after the last command
+	peekFresh = time.Millisecond      // a look at what is unread counts for so long
 )
 
 // clientLimits bound how long a connection may hold a descriptor and give nothing for it.
@@ -35,12 +36,14 @@
 	clock  clock
 	limits clientLimits
 	post   func(event)
-	buf    []byte    // of a command that is not whole yet
-	args   [][]byte  // memory for the next command's
-	since  time.Time // the start, the last whole command, or the first byte of the one in buf
-	heard  bool      // there was a whole command
-	came   arrivals  // of the bytes in buf
-	looked time.Time // when the client's end was last looked for while too many answers were owed
+	buf    []byte        // of a command that is not whole yet
+	args   [][]byte      // memory for the next command's
+	since  time.Time     // the start, the last whole command, or the first byte of the one in buf
+	heard  bool          // there was a whole command
+	came   arrivals      // of the bytes in buf
+	quiet  bool          // nothing was unread in the kernel ...
+	seenAt time.Duration // ... at this time of the clock
+	looked time.Time     // when the client's end was last looked for while too many answers were owed
 }
 
 // run reads until the client leaves, breaks the framing or lets a time limit pass. One read deadline holds all
@@ -54,14 +57,14 @@
 		// the reader sets this one before it looks at either.
 		by := r.deadline()
 		err := r.c.conn.SetReadDeadline(by)
-		if r.c.draining.Load() && len(r.buf) == 0 && r.mayStop() {
+		if err == nil {
+			err = r.handOn()
+		}
+		if err == nil && r.mayStop() {
 			r.hand(commands{last: true})
 			r.stayUnread()
 			return
 		}
-		if err == nil {
-			err = r.handOn()
-		}
 		waits := r.held() // for answers: what the client has sent meanwhile is not late
 		if err == nil && waits {
 			err = r.lookForEnd()
@@ -91,10 +94,20 @@
 	}
 }
 
-// mayStop reports whether a connection that is to end may do so now: nothing is owed and nothing has come, or the client is slow
-// to take what it is owed. What such a client goes on sending could not be answered in time, and what is left unread is
-// sent again elsewhere.
+// mayStop reports whether a connection that is to end may do so now, all that was read whole having been handed on: nothing is
+// owed and nothing has come, or the client is slow to take what it is owed. What such a client goes on sending could not be
+// answered in time, and what is left unread is sent again elsewhere.
 func (r *reader) mayStop() bool {
+	switch mode := r.c.reading.get(); {
+	case mode == readOn:
+		return false
+	case mode == readNoMore:
+		return true
+	case len(r.buf) > 0:
+		return false
+	case mode == readBegun:
+		return true
+	}
 	return r.c.slow.Load() || r.c.owed.Load() == 0 && r.c.conn.Quiet()
 }
 
@@ -119,26 +132,52 @@
 }
 
 // held reports that so many answers are owed that no further command is handed on.
-func (r *reader) held() bool { return r.c.owed.Load() >= owedMost }
+func (r *reader) held() bool { return r.c.owed.Load() >= owedMost && r.c.reading.get() < readBegun }
+
+// readMost is how many bytes may be read now. While so many answers are owed that nothing is handed on, a command's most is read
+// ahead, so that the client's end is found. Not so where the connection is to end: what is read then would have to be answered
+// before the platform ends the gateway, so only the rest of a command that has begun is read, and from a slow client as well.
+func (r *reader) readMost() int {
+	mode, held := r.c.reading.get(), r.held()
+	switch {
+	case mode >= readBegun, mode == readToRest && (held || r.c.slow.Load()):
+		return missing(r.buf)
+	case held:
+		return max(0, commandMost-len(r.buf))
+	}
+	return commandMost
+}
 
 // read takes what has come.
 func (r *reader) read() error {
-	if r.held() && len(r.buf) >= commandMost {
+	most := r.readMost()
+	if most == 0 {
 		return r.waitForRoom()
 	}
 	if len(r.buf) == cap(r.buf) {
 		r.buf = slices.Grow(r.buf, cap(r.buf))
 	}
-	r.came.beforeRead(r.clock.now(), r.c.conn.Quiet())
-	n, err := r.c.conn.Read(r.buf[len(r.buf):cap(r.buf)])
+	if !r.quiet || r.clock.now()-r.seenAt > peekFresh {
+		r.peek()
+	}
+	room := r.buf[len(r.buf):cap(r.buf)]
+	r.came.beforeRead(r.seenAt, r.quiet)
+	n, err := r.c.conn.Read(room[:min(len(room), most)])
 	if len(r.buf) == 0 && n > 0 {
 		r.since = time.Now()
 	}
 	r.buf = r.buf[:len(r.buf)+n]
 	r.came.afterRead(r.clock.now(), n, len(r.buf))
+	r.peek()
+	if err == nil && !r.quiet && r.c.conn.HungUp() { // work for a client that has left must not begin
+		return io.ErrUnexpectedEOF
+	}
 	return err
 }
 
+// peek looks whether anything is unread, be it the client's end.
+func (r *reader) peek() { r.seenAt, r.quiet = r.clock.now(), r.c.conn.Quiet() }
+
 // waitForRoom waits for a while until fewer answers are owed. The client's end lies behind what is unread, so it is
 // looked for.
 func (r *reader) waitForRoom() error {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -51,6 +51,7 @@
 }
 
 func serve(ctx context.Context, cfg Config, moves <-chan netip.AddrPort, ln net.Listener, log *slog.Logger) error {
+	opened := time.Now()
 	l, err := newLoop(cfg, log)
 	if err != nil {
 		return err
@@ -74,7 +75,8 @@
 		// moment, so it is heard before the first request is taken, or nothing new if it has nothing to say.
 		hearing.await(cmp.Or(cfg.hearFor, hearFirst), hearWhole)
 		l.in.post(ready{})
-		acceptor{ln: ln, ahead: l.ahead, post: l.in.post, metrics: l.metrics, log: log}.run(inner)
+		queue := acceptQueue{since: opened} // clients may have connected meanwhile
+		acceptor{ln: ln, queue: queue, ahead: l.ahead, post: l.in.post, metrics: l.metrics, log: log}.run(inner)
 		l.in.post(acceptEnded{}) // behind all connections that it took
 	})
 	wg.Go(func() {
@@ -106,13 +108,16 @@
 	l.stopBy = now + l.stopGrace()
 	l.log.Info("stopping", "open", len(l.requests))
 	l.schedule(min(now+acceptOn, l.stopBy), func() {
-		s.ln.Close()
+		endAccepting(s.ln)
 		l.closing = true
 		for c := range l.clients {
 			l.drain(c)
 		}
 	})
-	l.schedule(l.stopBy, l.stopAll)
+	l.schedule(l.stopBy, func() {
+		s.ln.Close() // also where accepting still fails
+		l.stopAll()
+	})
 }
 
 // stopGrace is how long after the stop answers can still be given.
@@ -127,18 +132,18 @@
 	return min(longest, shutdownWait) + shutdownGrace - shutdownMargin
 }
 
-// stopAll fails what is still owed, such as requests at servers that hang, and ends all connections: those on which
-// more commands have come than may be owed once these are refused, the others at once.
+// stopAll fails what is still owed, such as requests at servers that hang, and ends all connections. What was read ahead is
+// refused, and what is unread is left so: its client sends it again elsewhere. The last word on what was read is the
+// reader's, so that nothing is lost between it and the loop.
 func (l *loop) stopAll() {
 	l.closing = true
 	for c := range l.clients {
 		l.failOpen(c, reasonStopping)
-		l.drain(c)
+		l.limitReading(c, readBegun)
 	}
 	l.schedule(l.clock.now()+shutdownLast, func() {
 		for c := range l.clients {
-			c.transition(l, stateDraining)
-			l.endIfDone(c)
+			l.limitReading(c, readNoMore)
 		}
 	})
 	l.schedule(l.clock.now()+shutdownLongest, func() {
