--- a/review/standin/cmd/copies/main.go
+++ b/review/standin/cmd/copies/main.go
@@ -41,7 +41,7 @@
 	stop := make(chan struct{})
 	for _, g := range fleet.Gateways {
 		clients.Go(func() {
-			lab.Front(g.Addr, 2, rate, stop, func(r *lab.Request) {
+			l.Front(g.Addr, 2, rate, stop, func(r *lab.Request) {
 				usual.Add(r)
 				judge(l, r)
 			})
@@ -56,7 +56,6 @@
 
 // judge checks that a served request got the value that a card server made for it.
 func judge(l *lab.Lab, r *lab.Request) {
-	l.Recordf("%s %s: %s %q %v", r.Class, r.ID, r.Reply.Kind, r.Reply.Value, r.Err)
 	if r.Err == nil && r.Reply.Kind == "served" && !strings.HasPrefix(r.Reply.Value, "value for "+r.ID+" by ") {
 		l.Broken("%s %s was served %q", r.Class, r.ID, r.Reply.Value)
 	}
--- a/review/standin/cmd/memory/main.go
+++ b/review/standin/cmd/memory/main.go
@@ -36,10 +36,7 @@
 	stop := make(chan struct{})
 	for _, g := range fleet.Gateways {
 		clients.Go(func() {
-			lab.Front(g.Addr, 2, usualRate, stop, func(r *lab.Request) {
-				usual.Add(r)
-				l.Recordf("usual client: %s %s: %s %v", r.Class, r.ID, r.Reply.Kind, r.Err)
-			})
+			l.Front(g.Addr, 2, usualRate, stop, usual.Add)
 		})
 	}
 	time.Sleep(usualSeconds * time.Second)
@@ -93,10 +90,16 @@
 		for i := range requests {
 			requests[i] = lab.NewRequest("redeem", 2, lab.RandomWait(), body)
 		}
-		l.Recordf("client that sends much at once: %d commands", commands)
+		first, last := requests[0].ID, requests[commands-1].ID
+		l.Recordf("client that sends much at once: %d commands, %s to %s", commands, first, last)
 		answers.Add(commands)
 		c.Send(requests...)
 		answers.Wait()
+		var batch lab.Tally
+		for _, r := range requests {
+			batch.Add(r)
+		}
+		l.Recordf("client that sends much at once: %s to %s: %s", first, last, &batch)
 		c.Close()
 	}
 }
--- a/review/standin/cmd/stop/main.go
+++ b/review/standin/cmd/stop/main.go
@@ -45,7 +45,7 @@
 	var clients sync.WaitGroup
 	stop := make(chan struct{})
 	for _, g := range fleet.Gateways {
-		clients.Go(func() { lab.Front(g.Addr, 2, rate, stop, usual.Add) })
+		clients.Go(func() { l.Front(g.Addr, 2, rate, stop, usual.Add) })
 	}
 	time.Sleep(quiet)
 	hang.Store(l.Trouble)
--- a/review/standin/lab/cardserver.go
+++ b/review/standin/lab/cardserver.go
@@ -34,6 +34,7 @@
 	// answers it.
 	Arrival func(a Attempt) bool
 
+	lab  *Lab
 	work chan struct{}
 	mu   sync.Mutex
 	held int
@@ -48,7 +49,7 @@
 		if err != nil {
 			l.NotRun("card server: %v", err)
 		}
-		s := &CardServer{work: make(chan struct{}, workers)}
+		s := &CardServer{lab: l, work: make(chan struct{}, workers)}
 		s.Entry = Entry{ID: fmt.Sprintf("s-%08x", 0x5be20000+i), Addr: ln.Addr().String(),
 			Zone: []string{"hall-a", "hall-b"}[i%2], Kind: "std-2c", Cell: i % 2, State: "up", Weight: 1}
 		if prepare != nil {
@@ -88,17 +89,20 @@
 			continue
 		}
 		a := Attempt{Server: s, Name: args[0], ID: args[2], Arrived: time.Now()}
+		s.lab.Recordf("%s: got %s %s", s.Entry.ID, a.Name, a.ID)
 		if s.Arrival != nil && !s.Arrival(a) {
 			r.ReadByte() // until the gateway gives up
 			return
 		}
 		if !s.enter() {
+			s.lab.Recordf("%s: turned away %s", s.Entry.ID, a.ID)
 			if _, err := fmt.Fprint(conn, "-BUSY\r\n"); err != nil {
 				return
 			}
 			continue
 		}
 		s.run()
+		s.lab.Recordf("%s: ran %s", s.Entry.ID, a.ID)
 		answer := s.Answer
 		if answer == nil {
 			answer = func(conn net.Conn, _ *bufio.Reader, a Attempt) error {
--- a/review/standin/lab/client.go
+++ b/review/standin/lab/client.go
@@ -202,7 +202,7 @@
 
 // Front sends the usual requests to a gateway at random times, rate a second, until stop is closed. It waits for their
 // answers and calls answered with each request.
-func Front(addr string, gateways int, rate float64, stop <-chan struct{}, answered func(*Request)) {
+func (l *Lab) Front(addr string, gateways int, rate float64, stop <-chan struct{}, answered func(*Request)) {
 	pool := &Pool{Addr: addr}
 	var tasks sync.WaitGroup
 	defer tasks.Wait()
@@ -215,7 +215,9 @@
 		}
 		tasks.Go(func() {
 			r := NewRequest(RandomClass(), gateways, RandomWait(), "")
+			l.Recordf("usual client: sends %s %s, waits %v", r.Class, r.ID, r.Wait)
 			pool.Exchange(r)
+			l.Recordf("usual client: %s: %s %q %v", r.ID, r.Reply.Kind, r.Reply.Value, r.Err)
 			answered(r)
 		})
 	}
