Metrics: bytes of commands that wait for the loop, of read buffers, and of the process

New gauges: gateway_queued_command_bytes (parsed, not handled by the loop yet), gateway_open_command_bytes, gateway_read_buffer_bytes, and the process's own memory.

--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -78,7 +78,22 @@
 	protocolError bool // the client sent malformed input
 }
 
-func (e commandBatch) apply(l *loop) { l.ifOpen(&e.client.connection, func() { l.handleBatch(e) }) }
+func (e commandBatch) apply(l *loop) {
+	l.metrics.QueuedCommands.Add(-e.size())
+	l.ifOpen(&e.client.connection, func() { l.handleBatch(e) })
+}
+
+// size returns the total size of the commands in bytes.
+func (e commandBatch) size() int {
+	n := 0
+	for _, r := range e.commands {
+		n += len(r.reply)
+		if r.cmd != nil {
+			n += r.cmd.size()
+		}
+	}
+	return n
+}
 
 // handleBatch executes commands in order. It stops at the first command for which the connection has ended, since
 // writing an earlier answer may have shown that the client is gone.
@@ -157,7 +172,8 @@
 	}
 	e.client.lastActive = l.clock.now()
 	l.clients[e.client] = struct{}{}
-	r := clientReader{client: e.client, cfg: &l.cfg, clock: l.clock, timeouts: l.clientTimeouts, post: l.inbox.post}
+	r := clientReader{client: e.client, cfg: &l.cfg, clock: l.clock, timeouts: l.clientTimeouts, post: l.inbox.post,
+		metrics: l.metrics}
 	l.tasks.Go(r.run)
 	if l.closing {
 		l.scheduleWhileOpen(&e.client.connection, closeGrace, func() { l.drain(e.client) })
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -157,6 +157,7 @@
 	l.metrics.ClientConnections.Set(len(l.clients))
 	l.metrics.ServerConnections.Set(l.pool.connCount)
 	l.metrics.UnsentBytes.Set(l.unsentBytes)
+	l.metrics.OpenCommands.Set(l.openCommandBytes)
 	if l.unsentBytes < 0 || l.openCommandBytes < 0 || l.pool.connCount < 0 {
 		l.guard.reportViolation(ruleBookkeeping, "unsent", l.unsentBytes, "held", l.openCommandBytes,
 			"server_connections", l.pool.connCount)
--- a/internal/gateway/reader.go
+++ b/internal/gateway/reader.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/tidwall/redcon"
+
+	"winghatch/internal/telemetry"
 )
 
 const (
@@ -36,6 +38,7 @@
 	clock    clock
 	timeouts clientTimeouts
 	post     func(event)
+	metrics  *telemetry.Metrics
 	buf      []byte   // received bytes that are not processed yet
 	args     [][]byte // reused for the arguments of the next command
 	// start of the current timeout: when run began, at the last complete command, or at the first byte in buf
@@ -52,7 +55,9 @@
 // that, the disconnect of a client that sends much at once would go unnoticed, and the gateway would still work on
 // what it sent.
 func (r *clientReader) run() {
-	r.buf, r.timeoutStart = make([]byte, 0, clientReadBuffer), time.Now()
+	r.timeoutStart = time.Now()
+	r.setBuffer(make([]byte, 0, clientReadBuffer))
+	defer r.setBuffer(nil)
 	r.times.lastEmpty = r.clock.at(r.client.acceptedAt)
 	for {
 		// To wake the reader, the loop first changes readState or pendingAnswers and then sets an expired read
@@ -164,7 +169,7 @@
 		return r.waitForCapacity()
 	}
 	if len(r.buf) == cap(r.buf) {
-		r.buf = slices.Grow(r.buf, cap(r.buf))
+		r.setBuffer(slices.Grow(r.buf, cap(r.buf)))
 	}
 	if !r.kernelEmpty || r.clock.now()-r.peekedAt > peekTTL {
 		r.peek()
@@ -258,12 +263,18 @@
 		r.sawCommand, r.timeoutStart = true, time.Now()
 		r.times.discard(used)
 		if r.buf = r.buf[:copy(r.buf, r.buf[used:])]; len(r.buf) == 0 && cap(r.buf) > clientReadBuffer {
-			r.buf = make([]byte, 0, clientReadBuffer)
+			r.setBuffer(make([]byte, 0, clientReadBuffer))
 		}
 	}
 	return nil
 }
 
+// setBuffer replaces the read buffer.
+func (r *clientReader) setBuffer(buf []byte) {
+	r.metrics.ReadBufferBytes.Add(cap(buf) - cap(r.buf))
+	r.buf = buf
+}
+
 // parseBuffered parses the complete commands at the start of buf, at most maxPendingAnswers of them. It returns them
 // with their total size in bytes.
 func (r *clientReader) parseBuffered() (commands []receivedCommand, used int, err error) {
@@ -292,6 +303,7 @@
 	}
 	batch.client = r.client
 	r.client.pendingAnswers.Add(int32(len(batch.commands)))
+	r.metrics.QueuedCommands.Add(batch.size())
 	r.post(batch)
 }
 
--- a/internal/gateway/receivetimes_test.go
+++ b/internal/gateway/receivetimes_test.go
@@ -5,6 +5,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"winghatch/internal/telemetry"
 )
 
 // Guards against a deadline that counts from too late a time. Bytes count from when they were received. If that is
@@ -52,7 +54,8 @@
 		time.Sleep(time.Millisecond)
 	}
 	var posted []event
-	r := clientReader{client: c, cfg: &cfg, clock: newClock(), timeouts: defaultClientTimeouts, post: func(e event) { posted = append(posted, e) }}
+	r := clientReader{client: c, cfg: &cfg, clock: newClock(), timeouts: defaultClientTimeouts, metrics: telemetry.New(),
+		post: func(e event) { posted = append(posted, e) }}
 	r.run()
 	if len(posted) != 1 || posted[0] != (clientDisconnected{c}) {
 		t.Errorf("%d events were posted, the first is a %T; want only clientDisconnected", len(posted), posted[0])
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -36,6 +36,9 @@
 	ServerConnections *Gauge
 	UnsentBytes       *Gauge // bytes of answers not yet written to client connections
 	InboxEvents       *Gauge // events that were queued when the event loop last took some
+	ReadBufferBytes   *Gauge // capacity of the read buffers of client connections
+	QueuedCommands    *Gauge // bytes of commands that are parsed and wait for the event loop
+	OpenCommands      *Gauge // bytes of the commands of open requests
 }
 
 // New returns metrics that are all 0.
@@ -65,6 +68,9 @@
 		ServerConnections: gauge("gateway_server_connections"),
 		UnsentBytes:       gauge("gateway_unsent_bytes"),
 		InboxEvents:       gauge("gateway_inbox_events"),
+		ReadBufferBytes:   gauge("gateway_read_buffer_bytes"),
+		QueuedCommands:    gauge("gateway_queued_command_bytes"),
+		OpenCommands:      gauge("gateway_open_command_bytes"),
 	}
 }
 
@@ -113,8 +119,12 @@
 // Gauge is a metric that can go up and down.
 type Gauge struct{ value atomic.Int64 }
 
+// Set sets the gauge to n.
 func (g *Gauge) Set(n int) { g.value.Store(int64(n)) }
 
+// Add changes the gauge by n.
+func (g *Gauge) Add(n int) { g.value.Add(int64(n)) }
+
 // Write writes all metrics in the Prometheus text format.
 func (m *Metrics) Write(w io.Writer) { m.set.WritePrometheus(w) }
 
@@ -137,6 +147,7 @@
 	mux.HandleFunc("GET "+Path, func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
 		m.Write(w)
+		metrics.WriteProcessMetrics(w) // the process's memory and the Go runtime
 	})
 	return mux
 }
