Reserve memory for commands when they are parsed, not when the loop sees them

Cause: the inbox is bounded by its 1,024 events, not by their bytes, and a batch event can hold 64 commands of 64 KiB. The limit on the bytes of commands (a quarter of the memory) was checked in acceptRequest, when the loop gets to the event. Evidence: gauges sampled just before the kill: 62.4 MB of queued commands, 4.8 MB of open requests, 3.6 MB of read buffers, no unread answers.

Change: a byteBudget of a quarter of the memory, from which the reader reserves before it copies a command (arguments and 1 KiB for its tables). Without room the request is refused at once (reason memory), a PING with a text gets an error. The reservation is released with the final answer, or when the command is dropped. The arguments of a finished request are freed at once, also while attempts are in flight. parseRequest validates before anything is copied.

Works because nothing large is queued without a reservation, whatever the number of clients and the delay of the loop.

TestQueuedCommandsAreBoundedInBytes: 39.4 MB queued with a limit of 16.8 MB when the check is taken out, passes with it. The test of refusals by memory goes through a reader now, as that is where they are decided, and also checks that nothing stays reserved.

--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -10,10 +10,9 @@
 )
 
 const (
-	clientReadBuffer    = 1 << 10         // size of a connection's read buffer between commands, in bytes
-	maxPendingAnswers   = 64              // pending answers of one client; at this many, its further commands wait
-	clientWriteTimeout  = 2 * time.Second // a client that accepts no bytes for this long is disconnected
-	unsentMemoryDivisor = 8               // unread answers may use 1/unsentMemoryDivisor of the memory limit
+	clientReadBuffer   = 1 << 10         // size of a connection's read buffer between commands, in bytes
+	maxPendingAnswers  = 64              // pending answers of one client; at this many, its further commands wait
+	clientWriteTimeout = 2 * time.Second // a client that accepts no bytes for this long is disconnected
 	// A client that sends a malformed command must get a protocol error within 3 s. Requests before that command must
 	// get their answers first. Those still open after this time are failed, so that the error can follow them.
 	protocolErrorGrace = 2 * time.Second
@@ -63,11 +62,13 @@
 	return s
 }
 
-// receivedCommand is one command as parsed by the reader: either a request, or a ready answer to a command that needs
-// no decision.
+// receivedCommand is one command as parsed by the reader: either a request, or a request that the reader refuses, or a
+// ready answer to a command that needs no decision.
 type receivedCommand struct {
-	cmd   *command
-	reply []byte
+	cmd      *command
+	refusal  string // the reason for the refusal
+	reply    []byte
+	reserved int // bytes reserved in the budget for commands
 }
 
 // commandBatch is the event with which a reader passes commands to the loop.
@@ -80,17 +81,18 @@
 
 func (e commandBatch) apply(l *loop) {
 	l.metrics.QueuedCommands.Add(-e.size())
-	l.ifOpen(&e.client.connection, func() { l.handleBatch(e) })
+	if e.client.closed() {
+		l.discardCommands(e.commands)
+		return
+	}
+	l.handleBatch(e)
 }
 
-// size returns the total size of the commands in bytes.
+// size returns how many bytes are reserved for the commands.
 func (e commandBatch) size() int {
 	n := 0
 	for _, r := range e.commands {
-		n += len(r.reply)
-		if r.cmd != nil {
-			n += r.cmd.size()
-		}
+		n += r.reserved
 	}
 	return n
 }
@@ -99,15 +101,19 @@
 // writing an earlier answer may have shown that the client is gone.
 func (l *loop) handleBatch(e commandBatch) {
 	c := e.client
-	for _, r := range e.commands {
+	for i, r := range e.commands {
 		s := c.addSlot()
-		if s == nil {
+		switch {
+		case s == nil:
+			l.discardCommands(e.commands[i:])
 			return
-		}
-		if r.cmd == nil {
+		case r.refusal != "":
+			l.refuse(c, s, r.refusal)
+		case r.cmd != nil:
+			l.acceptRequest(c, s, r)
+		default:
+			l.memory.commands.release(r.reserved)
 			c.reply(s, r.reply)
-		} else {
-			l.acceptRequest(c, s, r.cmd)
 		}
 		l.processPending()
 	}
@@ -123,6 +129,13 @@
 	}
 }
 
+// discardCommands releases what commands of a connection that has ended hold.
+func (l *loop) discardCommands(commands []receivedCommand) {
+	for _, r := range commands {
+		l.memory.commands.release(r.reserved)
+	}
+}
+
 // failOpenRequests fails all open requests of a connection.
 func (l *loop) failOpenRequests(c *client, reason string) {
 	for _, s := range slices.Clone(c.slots) {
@@ -173,7 +186,7 @@
 	e.client.lastActive = l.clock.now()
 	l.clients[e.client] = struct{}{}
 	r := clientReader{client: e.client, cfg: &l.cfg, clock: l.clock, timeouts: l.clientTimeouts, post: l.inbox.post,
-		metrics: l.metrics}
+		metrics: l.metrics, memory: l.memory}
 	l.tasks.Go(r.run)
 	if l.closing {
 		l.scheduleWhileOpen(&e.client.connection, closeGrace, func() { l.drain(e.client) })
--- a/internal/gateway/command.go
+++ b/internal/gateway/command.go
@@ -26,7 +26,8 @@
 // command is a request as received from a client.
 type command struct {
 	args                   [][]byte       // as received; the list at listArg is forwarded with a new value of d
-	listPrefix, listSuffix []byte         // the list before and after the value of d
+	id                     string         // chosen by the client
+	dValueStart, dValueEnd int            // where the value of d is in the list
 	receivedAt             time.Duration  // when its last byte was received, or earlier if that is not known
 	timeout                time.Duration  // the value of d: how long the client waits
 	maxTimeout             time.Duration  // the class's limit on timeout
@@ -51,9 +52,6 @@
 	return n
 }
 
-// id returns the request's id as chosen by the client.
-func (c *command) id() string { return string(c.args[idArg]) }
-
 // encode returns the command as sent to a server, with remaining as the value of d.
 func (c *command) encode(remaining time.Duration) []byte {
 	b := make([]byte, 0, c.size()+encodeOverhead)
@@ -66,15 +64,17 @@
 		var digits [20]byte
 		d := strconv.AppendInt(digits[:0], int64(max(remaining/time.Millisecond, 1)), 10)
 		b = append(b, '$')
-		b = strconv.AppendInt(b, int64(len(c.listPrefix)+len(d)+len(c.listSuffix)), 10)
+		beforeValue, afterValue := a[:c.dValueStart], a[c.dValueEnd:]
+		b = strconv.AppendInt(b, int64(len(beforeValue)+len(d)+len(afterValue)), 10)
 		b = append(b, '\r', '\n')
-		b = append(append(append(b, c.listPrefix...), d...), c.listSuffix...)
+		b = append(append(append(b, beforeValue...), d...), afterValue...)
 		b = append(b, '\r', '\n')
 	}
 	return b
 }
 
-// parseRequest parses a request whose last byte was received at receivedAt. It copies the arguments.
+// parseRequest parses a request whose last byte was received at receivedAt. The request shares memory with args until
+// copyArgs is called.
 func parseRequest(cfg *Config, name string, args [][]byte, receivedAt time.Duration) (*command, error) {
 	if len(args) <= listArg || len(args) > listArg+2 {
 		return nil, errors.New("wrong number of arguments")
@@ -89,7 +89,7 @@
 	if len(id) == 0 || len(id) > maxIDBytes || len(list) > maxListBytes {
 		return nil, errors.New("the id or the list is missing or too long")
 	}
-	c := &command{args: cloneArgs(args), receivedAt: receivedAt}
+	c := &command{args: args, id: string(id), receivedAt: receivedAt}
 	c.request = decide.Request{Customer: string(customer), Units: 1, Write: name == "Q.DO"}
 	if err := c.parseList(); err != nil {
 		return nil, err
@@ -97,9 +97,16 @@
 	if err := c.validate(cfg, name); err != nil {
 		return nil, err
 	}
+	c.seenNames = nil
 	return c, nil
 }
 
+// copyArgs copies the arguments, so that the command shares no memory with the reader's buffer.
+func (c *command) copyArgs() { c.args = cloneArgs(c.args) }
+
+// dropArgs frees the arguments of a request that will not be sent again.
+func (c *command) dropArgs() { c.args = nil }
+
 // validate checks a request against the settings. A request that passes counts towards the customer's demand, is
 // reported to peers and is sent to servers. So a value that no regular client sends, under the id of a regular
 // customer, must be rejected here: it would distort that customer's share, or count against the server that rejects
@@ -152,7 +159,7 @@
 // parseList parses the list of names and values. Unknown names are forwarded as they are.
 func (c *command) parseList() error {
 	list := c.args[listArg]
-	c.seenNames = map[string]bool{}
+	c.seenNames, c.dValueEnd = map[string]bool{}, -1
 	for offset := 0; offset < len(list); {
 		end := len(list)
 		if i := bytes.IndexByte(list[offset:], ','); i >= 0 {
@@ -163,14 +170,14 @@
 			return errors.New("the list holds no name and value")
 		}
 		if string(name) == "d" {
-			c.listPrefix, c.listSuffix = list[:end-len(value)], list[end:]
+			c.dValueStart, c.dValueEnd = end-len(value), end
 		}
 		if err := c.setValue(string(name), string(value)); err != nil {
 			return err
 		}
 		offset = end + 1
 	}
-	if c.listPrefix == nil {
+	if c.dValueEnd < 0 {
 		return errors.New("d is missing")
 	}
 	return nil
--- a/internal/gateway/guard.go
+++ b/internal/gateway/guard.go
@@ -58,7 +58,7 @@
 	default:
 		return true
 	}
-	g.reportViolation(violated, "request", r.id, "client_id", r.cmd.id(), "class", r.cmd.request.Class,
+	g.reportViolation(violated, "request", r.id, "client_id", r.cmd.id, "class", r.cmd.request.Class,
 		"server", c.server.id, "attempt", a.index)
 	return false
 }
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -23,6 +23,7 @@
 	client       *client
 	slot         *slot
 	cmd          *command
+	reserved     int // bytes reserved for its command
 	attempts     []*attempt
 	deadline     time.Duration // for the final answer; no attempt is given a later one
 	startedAt    time.Duration
@@ -60,7 +61,7 @@
 	clients           map[*client]struct{}
 	clientTimeouts    clientTimeouts
 	acceptSlots       chan struct{} // one token for each connection that is awaited, or accepted and not counted yet
-	openCommandBytes  int           // bytes in the commands of open requests
+	memory            *memoryBudgets
 	unsentBytes       int           // bytes in answers that clients have not read yet
 	stopDeadline      time.Duration // when the last answers are due after a stop request; 0 before that
 	closing           bool          // the listener is closed, and so is each connection once no answer is pending
@@ -94,14 +95,12 @@
 	deadlineMargin = 10 * time.Millisecond
 	// A request that the engine leaves open this long past its deadline is failed.
 	overdueGrace = 5 * time.Millisecond
-	// Open commands may hold this fraction (1/4) of the memory limit; beyond it new requests are refused.
-	commandMemoryDivisor = 4
 )
 
 func newLoop(cfg Config, log *slog.Logger) (*loop, error) {
 	l := &loop{cfg: cfg, log: log, clock: newClock(), inbox: newInbox(), requests: map[string]*request{},
 		openIDs: map[string]struct{}{}, clients: map[*client]struct{}{}, clientTimeouts: defaultClientTimeouts,
-		acceptSlots: make(chan struct{}, acceptBacklog), dial: platform.DialTCP, metrics: telemetry.New()}
+		acceptSlots: make(chan struct{}, acceptBacklog), memory: newMemoryBudgets(cfg.MemoryMB), dial: platform.DialTCP, metrics: telemetry.New()}
 	l.debugEnabled = log.Enabled(context.Background(), slog.LevelDebug)
 	l.guard = guard{log: log, metrics: l.metrics}
 	l.ctx, l.cancel = context.WithCancel(context.Background())
@@ -157,9 +156,9 @@
 	l.metrics.ClientConnections.Set(len(l.clients))
 	l.metrics.ServerConnections.Set(l.pool.connCount)
 	l.metrics.UnsentBytes.Set(l.unsentBytes)
-	l.metrics.OpenCommands.Set(l.openCommandBytes)
-	if l.unsentBytes < 0 || l.openCommandBytes < 0 || l.pool.connCount < 0 {
-		l.guard.reportViolation(ruleBookkeeping, "unsent", l.unsentBytes, "held", l.openCommandBytes,
+	l.metrics.CommandBytes.Set(l.memory.commands.inUse())
+	if l.unsentBytes < 0 || l.memory.commands.inUse() < 0 || l.pool.connCount < 0 {
+		l.guard.reportViolation(ruleBookkeeping, "unsent", l.unsentBytes, "commands", l.memory.commands.inUse(),
 			"server_connections", l.pool.connCount)
 	}
 }
@@ -183,8 +182,11 @@
 	l.inbox.close()
 	l.tasks.Wait()
 	for _, e := range l.inbox.take(nil) {
-		if d, ok := e.(dialDone); ok {
-			d.discard(l)
+		switch e := e.(type) {
+		case dialDone:
+			e.discard(l)
+		case commandBatch:
+			l.discardCommands(e.commands)
 		}
 	}
 }
@@ -293,27 +295,26 @@
 }
 
 // acceptRequest takes a request that has been read completely.
-func (l *loop) acceptRequest(c *client, s *slot, cmd *command) {
-	if reason := l.rejectReason(cmd); reason != "" {
-		l.metrics.Answers.Inc(resultRefused)
-		l.metrics.Refusals.Inc(reason)
-		c.reply(s, busyReply(l.cfg.Settings.Decide.Limits.MaxRetryAfter))
-		l.flush(c)
+func (l *loop) acceptRequest(c *client, s *slot, received receivedCommand) {
+	cmd := received.cmd
+	if reason := l.rejectReason(); reason != "" {
+		l.memory.commands.release(received.reserved)
+		l.refuse(c, s, reason)
 		return
 	}
-	if _, open := l.openIDs[cmd.id()]; open { // two requests with the same id must never receive each other's answers
+	if _, open := l.openIDs[cmd.id]; open { // two requests with the same id must never receive each other's answers
 		l.metrics.Answers.Inc(resultFailed)
 		l.metrics.Failures.Inc(reasonSameID)
+		l.memory.commands.release(received.reserved)
 		c.reply(s, redcon.AppendError(nil, "ERR a request with this id is open"))
 		l.flush(c)
 		return
 	}
 	l.nextID++
-	r := &request{id: strconv.FormatUint(l.nextID, 36), client: c, slot: s, cmd: cmd}
+	r := &request{id: strconv.FormatUint(l.nextID, 36), client: c, slot: s, cmd: cmd, reserved: received.reserved}
 	s.request = r
 	l.requests[r.id] = r
-	l.openIDs[cmd.id()] = struct{}{}
-	l.openCommandBytes += cmd.size()
+	l.openIDs[cmd.id] = struct{}{}
 	deadline := cmd.receivedAt + min(cmd.timeout, cmd.maxTimeout) - deadlineMargin
 	if l.stopDeadline > 0 {
 		deadline = min(deadline, l.stopDeadline)
@@ -321,7 +322,7 @@
 	r.overdueTimer = l.schedule(deadline+overdueGrace, func() { l.failOverdue(r) })
 	r.deadline, r.startedAt = deadline, l.clock.now()
 	if l.debugEnabled {
-		l.log.Debug("request accepted", "request", r.id, "client_id", cmd.id(), "connection", c.id, "class", cmd.request.Class,
+		l.log.Debug("request accepted", "request", r.id, "client_id", cmd.id, "connection", c.id, "class", cmd.request.Class,
 			"left", deadline-r.startedAt, "waited", r.startedAt-cmd.receivedAt)
 	}
 	ev := cmd.request
@@ -329,14 +330,20 @@
 	l.enqueue(ev)
 }
 
+// refuse refuses a request that the decision engine has not seen.
+func (l *loop) refuse(c *client, s *slot, reason string) {
+	l.metrics.Answers.Inc(resultRefused)
+	l.metrics.Refusals.Inc(reason)
+	c.reply(s, busyReply(l.cfg.Settings.Decide.Limits.MaxRetryAfter))
+	l.flush(c)
+}
+
 // rejectReason returns the reason why this gateway can't take a request at all, or "".
-func (l *loop) rejectReason(cmd *command) string {
+func (l *loop) rejectReason() string {
 	open := l.cfg.Settings.OpenCap
 	switch {
 	case l.stopDeadline > 0 && l.clock.now() >= l.stopDeadline: // no time is left to send it to a server
 		return reasonStopping
-	case l.openCommandBytes+cmd.size() > l.cfg.MemoryMB<<20/commandMemoryDivisor:
-		return reasonMemory
 	case open > 0 && len(l.requests) >= open:
 		return reasonOpenCap
 	}
@@ -387,13 +394,14 @@
 func (l *loop) finishRequest(r *request, result, reason string) {
 	l.metrics.Answers.Inc(result)
 	if l.debugEnabled {
-		l.log.Debug("request ended", "request", r.id, "client_id", r.cmd.id(), "result", result, "reason", reason,
+		l.log.Debug("request ended", "request", r.id, "client_id", r.cmd.id, "result", result, "reason", reason,
 			"attempts", len(r.attempts), "out", r.inFlight, "took", l.clock.now()-r.startedAt)
 	}
 	r.done = true
 	r.slot.request = nil
-	l.openCommandBytes -= r.cmd.size()
-	delete(l.openIDs, r.cmd.id())
+	l.memory.commands.release(r.reserved)
+	r.cmd.dropArgs() // attempts may stay in flight for long, and no other one may start
+	delete(l.openIDs, r.cmd.id)
 	l.cancelTimer(r.overdueTimer)
 	l.forgetIfFinished(r)
 }
--- /dev/null
+++ b/internal/gateway/memory.go
@@ -0,0 +1,51 @@
+package gateway
+
+import "sync/atomic"
+
+// Each part of the gateway that holds bytes for others may use a fraction of the memory limit. The divisors are such
+// that all parts together stay under the soft limit of the Go runtime.
+const (
+	commandMemoryDivisor = 4 // commands, from when they are parsed to the final answers
+	unsentMemoryDivisor  = 8 // answers that are written to clients and not accepted yet
+)
+
+// commandOverhead is reserved for each request in addition to its arguments, for its timers and its entries in tables,
+// in bytes.
+const commandOverhead = 1 << 10
+
+// byteBudget bounds the bytes that a part of the gateway holds. Reserving never blocks: whoever gets no bytes refuses
+// the work or tries again later. It is safe for concurrent use.
+type byteBudget struct {
+	limit int64
+	used  atomic.Int64
+}
+
+// tryReserve reserves n bytes, unless the budget would be exceeded.
+func (b *byteBudget) tryReserve(n int) bool {
+	for {
+		used := b.used.Load()
+		if used+int64(n) > b.limit {
+			return false
+		}
+		if b.used.CompareAndSwap(used, used+int64(n)) {
+			return true
+		}
+	}
+}
+
+// release returns n bytes that were reserved.
+func (b *byteBudget) release(n int) { b.used.Add(int64(-n)) }
+
+// inUse returns how many bytes are reserved.
+func (b *byteBudget) inUse() int { return int(b.used.Load()) }
+
+// memoryBudgets are the budgets of a gateway.
+type memoryBudgets struct {
+	commands byteBudget
+}
+
+// newMemoryBudgets divides a memory limit, in MB.
+func newMemoryBudgets(memoryMB int) *memoryBudgets {
+	limit := int64(memoryMB) << 20
+	return &memoryBudgets{commands: byteBudget{limit: limit / commandMemoryDivisor}}
+}
--- /dev/null
+++ b/internal/gateway/memory_test.go
@@ -0,0 +1,101 @@
+package gateway
+
+import (
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/tidwall/redcon"
+)
+
+// longRedeem returns an encoded keyed request with a body of the largest size.
+func longRedeem(id string) string {
+	b := redcon.AppendArray(nil, 5)
+	for _, arg := range []string{"Q.DO", customer, id, "c=book,t=p,d=30000,k=77,units=1,spread=2,first=0",
+		strings.Repeat("x", maxValueBytes)} {
+		b = redcon.AppendBulkString(b, arg)
+	}
+	return string(b)
+}
+
+// sendInBackground writes text to a connection, for as long as that is open.
+func sendInBackground(conn net.Conn, text string) {
+	go io.WriteString(conn, text)
+}
+
+// awaitStable waits until a value has not changed for a while, and returns it.
+func awaitStable(value func() int) int {
+	const stable = 100 * time.Millisecond
+	last, since := value(), time.Now()
+	for time.Since(since) < stable {
+		time.Sleep(time.Millisecond)
+		if n := value(); n != last {
+			last, since = n, time.Now()
+		}
+	}
+	return last
+}
+
+// queuedBytes returns how many bytes the arguments of the commands take that wait for the loop.
+func queuedBytes(l *loop) (n int) {
+	l.inbox.mu.Lock()
+	defer l.inbox.mu.Unlock()
+	for _, e := range l.inbox.items {
+		if batch, ok := e.(commandBatch); ok {
+			for _, r := range batch.commands {
+				n += len(r.reply)
+				if r.cmd != nil {
+					n += r.cmd.size()
+				}
+			}
+		}
+	}
+	return n
+}
+
+// Guards against long commands that fill the memory while they wait for the loop: the inbox was bounded by the number
+// of its events only. Commands without room are refused at once, and every command gets its answer.
+func TestQueuedCommandsAreBoundedInBytes(t *testing.T) {
+	const clients, perClient = 10, 60
+	for name, command := range map[string]string{
+		"requests": longRedeem("id"),
+		"echo":     "*2\r\n$4\r\nPING\r\n$65536\r\n" + strings.Repeat("x", maxValueBytes) + "\r\n",
+	} {
+		l := newManualLoop(t, nil)
+		limit := l.cfg.MemoryMB << 20 / commandMemoryDivisor
+		if clients*perClient*len(command) < 2*limit {
+			t.Fatal("the clients send too little")
+		}
+		var answered int
+		all := map[*client]struct{}{}
+		for range clients {
+			c, far := connectClient(t, l, defaultClientTimeouts, "")
+			all[c] = struct{}{}
+			sendInBackground(far, strings.Repeat(command, perClient))
+			go io.Copy(io.Discard, far)
+		}
+		pending := func() (n int) {
+			for c := range all {
+				n += int(c.pendingAnswers.Load())
+			}
+			return n
+		}
+		if awaitStable(pending); queuedBytes(l) > limit {
+			t.Errorf("%s: %d bytes of commands wait for the loop, the limit is %d", name, queuedBytes(l), limit)
+		}
+		runUntil(t, l, func() bool {
+			answered = 0
+			for c := range all {
+				if c.lastActive > 0 && len(c.slots) == 0 && !c.writerActive {
+					answered++
+				}
+			}
+			return answered == clients && pending() == 0
+		})
+		if n := l.memory.commands.inUse(); n != 0 {
+			t.Errorf("%s: %d bytes stay reserved", name, n)
+		}
+	}
+}
--- a/internal/gateway/reader.go
+++ b/internal/gateway/reader.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bytes"
 	"errors"
 	"io"
 	"net"
@@ -39,6 +38,7 @@
 	timeouts clientTimeouts
 	post     func(event)
 	metrics  *telemetry.Metrics
+	memory   *memoryBudgets
 	buf      []byte   // received bytes that are not processed yet
 	args     [][]byte // reused for the arguments of the next command
 	// start of the current timeout: when run began, at the last complete command, or at the first byte in buf
@@ -284,7 +284,7 @@
 			break
 		}
 		used += n
-		commands = append(commands, interpret(r.cfg, r.args, r.times.receivedAt(used)))
+		commands = append(commands, interpret(r.cfg, &r.memory.commands, r.args, r.times.receivedAt(used)))
 	}
 	return commands, used, err
 }
@@ -307,8 +307,10 @@
 	r.post(batch)
 }
 
-// interpret converts a command whose last byte was received at receivedAt into a request, or into a ready answer.
-func interpret(cfg *Config, args [][]byte, receivedAt time.Duration) receivedCommand {
+// interpret converts a command whose last byte was received at receivedAt into a request, or into a ready answer. It
+// copies what it keeps of args, and reserves memory for that. Without memory for it, a request is refused: the loop may be
+// far behind, and until it sees a command nothing else limits how much all clients together have sent.
+func interpret(cfg *Config, memory *byteBudget, args [][]byte, receivedAt time.Duration) receivedCommand {
 	if len(args) == 0 {
 		return receivedCommand{reply: redcon.AppendError(nil, "ERR empty command")}
 	}
@@ -319,10 +321,15 @@
 		if err != nil {
 			return receivedCommand{reply: redcon.AppendError(nil, "ERR "+err.Error())}
 		}
-		return receivedCommand{cmd: cmd}
+		reserved := cmd.size() + commandOverhead
+		if !memory.tryReserve(reserved) {
+			return receivedCommand{refusal: reasonMemory}
+		}
+		cmd.copyArgs()
+		return receivedCommand{cmd: cmd, reserved: reserved}
 	case "PING":
 		if len(args) == 2 {
-			return receivedCommand{reply: redcon.AppendBulk(nil, bytes.Clone(args[1]))}
+			return echo(memory, args[1])
 		}
 		return receivedCommand{reply: redcon.AppendString(nil, "PONG")}
 	case "CLIENT", "SELECT":
@@ -330,3 +337,12 @@
 	}
 	return receivedCommand{reply: redcon.AppendError(nil, "ERR unknown command")}
 }
+
+// echo returns the answer to a PING with a text.
+func echo(memory *byteBudget, text []byte) receivedCommand {
+	reserved := len(text) + encodeOverhead
+	if !memory.tryReserve(reserved) {
+		return receivedCommand{reply: redcon.AppendError(nil, "ERR not enough memory")}
+	}
+	return receivedCommand{reply: redcon.AppendBulk(nil, text), reserved: reserved}
+}
--- a/internal/gateway/receivetimes_test.go
+++ b/internal/gateway/receivetimes_test.go
@@ -55,7 +55,8 @@
 	}
 	var posted []event
 	r := clientReader{client: c, cfg: &cfg, clock: newClock(), timeouts: defaultClientTimeouts, metrics: telemetry.New(),
-		post: func(e event) { posted = append(posted, e) }}
+		memory: newMemoryBudgets(cfg.MemoryMB),
+		post:   func(e event) { posted = append(posted, e) }}
 	r.run()
 	if len(posted) != 1 || posted[0] != (clientDisconnected{c}) {
 		t.Errorf("%d events were posted, the first is a %T; want only clientDisconnected", len(posted), posted[0])
--- a/internal/gateway/simulation_test.go
+++ b/internal/gateway/simulation_test.go
@@ -792,15 +792,15 @@
 	for _, r := range l.requests {
 		if !r.done {
 			open++
-			held += r.cmd.size()
+			held += r.reserved
 		}
 	}
 	switch {
 	case x.maxFDs > l.cfg.Sockets-reservedSockets:
 		x.failf("%d connections with %d descriptors", x.maxFDs, l.cfg.Sockets)
-	case open > l.cfg.Settings.OpenCap || open != len(l.openIDs) || held != l.openCommandBytes:
+	case open > l.cfg.Settings.OpenCap || open != len(l.openIDs) || held != l.memory.commands.inUse():
 		x.failf("%d requests are open of %d allowed, %d ids are in the table, %d bytes counted as %d",
-			open, l.cfg.Settings.OpenCap, len(l.openIDs), held, l.openCommandBytes)
+			open, l.cfg.Settings.OpenCap, len(l.openIDs), held, l.memory.commands.inUse())
 	case len(l.clients) > l.cfg.Sockets-minSockets || l.pool.connCount > l.pool.maxConns:
 		x.failf("%d clients, %d connections to servers", len(l.clients), l.pool.connCount)
 	}
@@ -1084,9 +1084,9 @@
 	}
 	synctest.Wait()
 	l := x.loop
-	if n := len(l.requests) + len(l.openIDs) + len(l.clients) + l.openCommandBytes + l.pool.connCount; n > 0 {
+	if n := len(l.requests) + len(l.openIDs) + len(l.clients) + l.memory.commands.inUse() + l.pool.connCount; n > 0 {
 		x.failf("left over: %d requests, %d ids, %d clients, %d bytes, %d connections", len(l.requests),
-			len(l.openIDs), len(l.clients), l.openCommandBytes, l.pool.connCount)
+			len(l.openIDs), len(l.clients), l.memory.commands.inUse(), l.pool.connCount)
 	}
 	if x.openFDs > 0 {
 		x.failf("%d connections are still open", x.openFDs)
--- a/internal/gateway/slow_test.go
+++ b/internal/gateway/slow_test.go
@@ -143,21 +143,21 @@
 func TestOpenRequestsAreBounded(t *testing.T) {
 	for name, fill := range map[string]func(l *loop){
 		"open": func(l *loop) { l.cfg.Settings.OpenCap = 1 },
-		"held": func(l *loop) { l.openCommandBytes = l.cfg.MemoryMB << 20 / commandMemoryDivisor },
+		"held": func(l *loop) { l.memory.commands.tryReserve(int(l.memory.commands.limit) - l.memory.commands.inUse()) },
 	} {
 		l := newManualLoop(t, unreachableServers(t))
-		first, _ := openRequest(t, l)
+		openRequest(t, l)
 		fill(l)
-		near, far := tcpPair(t)
-		c := newClientOn(t, near)
-		second := *first.cmd
-		second.args = append([][]byte{}, first.cmd.args...)
-		second.args[idArg] = []byte("id-2")
-		commandBatch{client: c, commands: []receivedCommand{{cmd: &second}}}.apply(l)
+		before := l.memory.commands.inUse()
+		c, far := connectClient(t, l, defaultClientTimeouts, rawRequest("id-2"))
+		runUntil(t, l, func() bool { return l.metrics.Refusals.Total() > 0 })
 		l.closeClient(c, closeLeft)
 		if got := readAll(t, far); got != "-BUSY 1000\r\n" {
 			t.Errorf("%s: got %q, want a refusal", name, got)
 		}
+		if after := l.memory.commands.inUse(); after != before {
+			t.Errorf("%s: the refused request keeps %d bytes", name, after-before)
+		}
 	}
 }
 
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -38,7 +38,7 @@
 	InboxEvents       *Gauge // events that were queued when the event loop last took some
 	ReadBufferBytes   *Gauge // capacity of the read buffers of client connections
 	QueuedCommands    *Gauge // bytes of commands that are parsed and wait for the event loop
-	OpenCommands      *Gauge // bytes of the commands of open requests
+	CommandBytes      *Gauge // bytes reserved for commands, queued ones and those of open requests
 }
 
 // New returns metrics that are all 0.
@@ -70,7 +70,7 @@
 		InboxEvents:       gauge("gateway_inbox_events"),
 		ReadBufferBytes:   gauge("gateway_read_buffer_bytes"),
 		QueuedCommands:    gauge("gateway_queued_command_bytes"),
-		OpenCommands:      gauge("gateway_open_command_bytes"),
+		CommandBytes:      gauge("gateway_command_bytes"),
 	}
 }
 
