Bound the read buffers of all clients together

Cause: each connection's buffer grows to 128 KiB, whatever the memory limit. The 192 connections that 256 descriptors allow take 24 MB, of 32 MB that a gateway may have.

Change: a buffer of up to 4 KiB is free, a larger one needs a reservation from a sixteenth of the memory limit, made in one step, so that two readers can't wait for each other's rest. Without memory the input stays in the kernel and the client's timeout does not run; who holds memory is done within the command timeout. Reading ahead gets half of the budget.

TestReadBuffersAreBounded: without the reservation 120 clients hold 7.9 MB, at most 4.7 MB are allowed; passes with it.

--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -10,7 +10,6 @@
 )
 
 const (
-	clientReadBuffer   = 1 << 10         // size of a connection's read buffer between commands, in bytes
 	maxPendingAnswers  = 64              // pending answers of one client; at this many, its further commands wait
 	clientWriteTimeout = 2 * time.Second // a client that accepts no bytes for this long is disconnected
 	// A client that sends a malformed command must get a protocol error within 3 s. Requests before that command must
--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -5,8 +5,9 @@
 // Each part of the gateway that holds bytes for others may use a fraction of the memory limit. The divisors are such
 // that all parts together stay under the soft limit of the Go runtime.
 const (
-	commandMemoryDivisor = 4 // commands, from when they are parsed to the final answers
-	unsentMemoryDivisor  = 8 // answers that are written to clients and not accepted yet
+	commandMemoryDivisor    = 4  // commands, from when they are parsed to the final answers
+	unsentMemoryDivisor     = 8  // answers that are written to clients and not accepted yet
+	readBufferMemoryDivisor = 16 // read buffers of clients, beyond smallReadBuffer each
 )
 
 // commandOverhead is reserved for each request in addition to its arguments, for its timers and its entries in tables,
@@ -21,10 +22,13 @@
 }
 
 // tryReserve reserves n bytes, unless the budget would be exceeded.
-func (b *byteBudget) tryReserve(n int) bool {
+func (b *byteBudget) tryReserve(n int) bool { return b.tryReserveUpTo(n, b.limit) }
+
+// tryReserveUpTo reserves n bytes, unless more than limit would then be in use.
+func (b *byteBudget) tryReserveUpTo(n int, limit int64) bool {
 	for {
 		used := b.used.Load()
-		if used+int64(n) > b.limit {
+		if used+int64(n) > limit {
 			return false
 		}
 		if b.used.CompareAndSwap(used, used+int64(n)) {
@@ -41,11 +45,15 @@
 
 // memoryBudgets are the budgets of a gateway.
 type memoryBudgets struct {
-	commands byteBudget
+	commands    byteBudget
+	readBuffers byteBudget
 }
 
 // newMemoryBudgets divides a memory limit, in MB.
 func newMemoryBudgets(memoryMB int) *memoryBudgets {
 	limit := int64(memoryMB) << 20
-	return &memoryBudgets{commands: byteBudget{limit: limit / commandMemoryDivisor}}
+	return &memoryBudgets{
+		commands:    byteBudget{limit: limit / commandMemoryDivisor},
+		readBuffers: byteBudget{limit: limit / readBufferMemoryDivisor},
+	}
 }
--- a/internal/gateway/memory_test.go
+++ b/internal/gateway/memory_test.go
@@ -99,3 +99,36 @@
 		}
 	}
 }
+
+// Guards against hundreds of connections whose long commands arrive slowly: their read buffers were not limited. A client
+// that waits for memory is not cut off, and gets its answer once others are done.
+func TestReadBuffersAreBounded(t *testing.T) {
+	l := newManualLoop(t, nil)
+	limit := l.cfg.MemoryMB << 20 / readBufferMemoryDivisor
+	clients := 2 * limit / maxCommandBytes
+	command := longRedeem("id")
+	half := len(command) - 1<<10
+	var all []*client
+	var conns []net.Conn
+	for range clients {
+		c, far := connectClient(t, l, defaultClientTimeouts, "")
+		sendInBackground(far, command[:half])
+		all, conns = append(all, c), append(conns, far)
+	}
+	buffers := l.metrics.ReadBufferBytes.Value
+	if n, most := awaitStable(buffers), limit+clients*smallReadBuffer; n > most {
+		t.Errorf("%d clients have read buffers of %d bytes, at most %d are allowed", clients, n, most)
+	}
+	for _, far := range conns {
+		sendInBackground(far, command[half:])
+		go io.Copy(io.Discard, far)
+	}
+	runUntil(t, l, func() bool { return int(l.metrics.Answers.Total()) == clients })
+	for _, c := range all {
+		l.closeClient(c, closeLeft)
+	}
+	l.tasks.Wait()
+	if n, reserved := buffers(), l.memory.readBuffers.inUse(); n != 0 || reserved != 0 {
+		t.Errorf("%d bytes of buffers and %d reserved ones are left", n, reserved)
+	}
+}
--- a/internal/gateway/reader.go
+++ b/internal/gateway/reader.go
@@ -5,7 +5,6 @@
 	"io"
 	"net"
 	"os"
-	"slices"
 	"strings"
 	"time"
 
@@ -20,6 +19,14 @@
 	peekTTL             = time.Millisecond      // how long the result of peek stays valid
 )
 
+// Sizes of a connection's read buffer, in bytes.
+const (
+	clientReadBuffer = 1 << 10                 // between commands
+	smallReadBuffer  = 4 << 10                 // largest size without a reservation
+	largeReadBuffer  = maxCommandBytes + 1<<10 // a command that is too long is rejected before it fills this
+	maxReadBuffer    = 2 * largeReadBuffer     // commands that are read ahead, and the rest of the last one
+)
+
 // clientTimeouts bound how long a connection may hold a descriptor without sending requests.
 type clientTimeouts struct {
 	command time.Duration // for the first command of a connection, and for the rest of a command that has begun
@@ -40,6 +47,8 @@
 	metrics  *telemetry.Metrics
 	memory   *memoryBudgets
 	buf      []byte   // received bytes that are not processed yet
+	reserved int      // bytes reserved for buf
+	starved  bool     // the buffer is full, and there was no memory for a larger one
 	args     [][]byte // reused for the arguments of the next command
 	// start of the current timeout: when run began, at the last complete command, or at the first byte in buf
 	timeoutStart    time.Time
@@ -57,7 +66,7 @@
 func (r *clientReader) run() {
 	r.timeoutStart = time.Now()
 	r.setBuffer(make([]byte, 0, clientReadBuffer))
-	defer r.setBuffer(nil)
+	defer r.dropBuffer()
 	r.times.lastEmpty = r.clock.at(r.client.acceptedAt)
 	for {
 		// To wake the reader, the loop first changes readState or pendingAnswers and then sets an expired read
@@ -80,6 +89,7 @@
 		if err == nil {
 			err = r.read()
 		}
+		blocked = blocked || r.starved
 		if blocked || len(r.buf) == 0 && r.client.pendingAnswers.Load() > 0 {
 			blocked, r.timeoutStart = true, time.Now()
 		}
@@ -91,7 +101,7 @@
 		case !errors.Is(err, os.ErrDeadlineExceeded):
 			r.post(clientDisconnected{r.client})
 			return
-		case blocked, time.Now().Before(deadline): // blocked by pending answers, or woken by the loop
+		case blocked, time.Now().Before(deadline): // blocked by pending answers or for memory, or woken by the loop
 		case len(r.buf) > 0:
 			r.sendProtocolError(errCommandTimeout, false)
 			return
@@ -123,6 +133,7 @@
 // awaitAnswers watches a connection that is no longer read, until its pending answers are written. If the client
 // disconnects meanwhile, awaitAnswers reports it, so that work on its requests ends.
 func (r *clientReader) awaitAnswers() {
+	r.dropBuffer()
 	for r.client.pendingAnswers.Load() > 0 {
 		if r.waitForCapacity() != nil {
 			r.post(clientDisconnected{r.client})
@@ -165,12 +176,10 @@
 // read appends to buf what has arrived, and waits for input if there is none.
 func (r *clientReader) read() error {
 	budget := r.readBudget()
-	if budget == 0 {
+	r.starved = budget > 0 && len(r.buf) == cap(r.buf) && !r.growBuffer()
+	if budget == 0 || r.starved {
 		return r.waitForCapacity()
 	}
-	if len(r.buf) == cap(r.buf) {
-		r.setBuffer(slices.Grow(r.buf, cap(r.buf)))
-	}
 	if !r.kernelEmpty || r.clock.now()-r.peekedAt > peekTTL {
 		r.peek()
 	}
@@ -226,6 +235,7 @@
 // discarded, so that the disconnect behind it is noticed. After maxDiscardBytes, input is left unread and checkHangup
 // looks for the disconnect.
 func (r *clientReader) drainReads() {
+	r.dropBuffer()
 	buf := make([]byte, clientReadBuffer)
 	for remaining := maxDiscardBytes; r.client.pendingAnswers.Load() > 0; {
 		if remaining <= 0 {
@@ -263,12 +273,47 @@
 		r.sawCommand, r.timeoutStart = true, time.Now()
 		r.times.discard(used)
 		if r.buf = r.buf[:copy(r.buf, r.buf[used:])]; len(r.buf) == 0 && cap(r.buf) > clientReadBuffer {
+			r.dropBuffer()
 			r.setBuffer(make([]byte, 0, clientReadBuffer))
 		}
 	}
 	return nil
 }
 
+// growBuffer enlarges the read buffer. It returns false if there is no memory for that now: the input then stays in the
+// kernel until other connections have their commands complete, which takes them at most the command timeout. Reading
+// ahead gets only half of the memory, because what is read ahead stays for as long as answers are pending.
+func (r *clientReader) growBuffer() bool {
+	size, reserve := min(2*cap(r.buf), largeReadBuffer), largeReadBuffer
+	switch {
+	case cap(r.buf) >= maxReadBuffer:
+		return false
+	case cap(r.buf) >= largeReadBuffer:
+		size, reserve = maxReadBuffer, maxReadBuffer
+	case size <= smallReadBuffer:
+		reserve = 0
+	}
+	budget := &r.memory.readBuffers
+	limit := budget.limit
+	if r.atPendingLimit() {
+		limit /= 2
+	}
+	if reserve > r.reserved && !budget.tryReserveUpTo(reserve-r.reserved, limit) {
+		return false
+	}
+	r.reserved = reserve
+	larger := make([]byte, 0, size)
+	r.setBuffer(append(larger, r.buf...))
+	return true
+}
+
+// dropBuffer frees the read buffer and its reservation.
+func (r *clientReader) dropBuffer() {
+	r.setBuffer(nil)
+	r.memory.readBuffers.release(r.reserved)
+	r.reserved = 0
+}
+
 // setBuffer replaces the read buffer.
 func (r *clientReader) setBuffer(buf []byte) {
 	r.metrics.ReadBufferBytes.Add(cap(buf) - cap(r.buf))
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -122,6 +122,9 @@
 // Set sets the gauge to n.
 func (g *Gauge) Set(n int) { g.value.Store(int64(n)) }
 
+// Value returns the gauge's value.
+func (g *Gauge) Value() int { return int(g.value.Load()) }
+
 // Add changes the gauge by n.
 func (g *Gauge) Add(n int) { g.value.Add(int64(n)) }
 
