Bound the answers that wait behind an open request on their connection

Cause: answers counted against a limit (unsentBytes) only when they were next in order. Up to 63 answers of 64 KiB for each connection were held before that, uncounted: 4 MB a connection, whatever the limit.

Change: answers that are ready and not next in order are counted (heldAnswers, a sixteenth of the memory). A server's value without room fails its request, which is its one final answer; one line and what is next in order always have room.

TestAnswersBehindOpenRequestAreBounded: 4,260,490 bytes are held with a limit of 4,194,304 when the check is taken out, at the first answer too many; passes with it. The search compares the count with the tables after each step.

--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -7,6 +7,8 @@
 	"slices"
 	"sync/atomic"
 	"time"
+
+	"github.com/tidwall/redcon"
 )
 
 const (
@@ -19,7 +21,8 @@
 	// So the gateway shuts down its sending side first, then checks at this interval whether the client has received
 	// all answers, and closes when it has.
 	lingerInterval = 150 * time.Millisecond
-	finBytes       = 1 // the FIN counts as one unacknowledged byte
+	finBytes       = 1  // the FIN counts as one unacknowledged byte
+	maxSmallReply  = 64 // bytes of an answer that is one line of the gateway's own
 )
 
 // slot is the place of one answer in the order of a connection's answers.
@@ -27,6 +30,7 @@
 	request *request // the request while it is open, else nil
 	reply   []byte
 	ready   bool
+	held    int // bytes of reply that count as held, because an earlier answer is not ready
 }
 
 // client is a connection from a client.
@@ -112,7 +116,10 @@
 			l.acceptRequest(c, s, r)
 		default:
 			l.memory.commands.release(r.reserved)
-			c.reply(s, r.reply)
+			if !l.mayHold(c, s, r.reply) {
+				r.reply = noMemoryReply()
+			}
+			l.reply(c, s, r.reply)
 		}
 		l.processPending()
 	}
@@ -256,8 +263,32 @@
 }
 
 // reply stores an answer in its slot. flush writes it once all earlier slots are ready.
-func (c *client) reply(s *slot, b []byte) {
+func (l *loop) reply(c *client, s *slot, b []byte) {
 	s.reply, s.ready = b, true
+	if !c.isFirst(s) {
+		s.held = len(b)
+		l.memory.heldAnswers.reserve(s.held)
+	}
+}
+
+// isFirst reports whether no earlier answer is pending.
+func (c *client) isFirst(s *slot) bool { return len(c.slots) > 0 && c.slots[0] == s }
+
+// mayHold reports whether there is memory for an answer until all earlier ones are ready. There always is for one line,
+// of which a client has at most maxPendingAnswers.
+func (l *loop) mayHold(c *client, s *slot, b []byte) bool {
+	return len(b) <= maxSmallReply || c.isFirst(s) || l.memory.heldAnswers.hasRoom(len(b))
+}
+
+// noMemoryReply is the answer for which there is no memory.
+func noMemoryReply() []byte { return redcon.AppendError(nil, "ERR not enough memory") }
+
+// releaseHeld accounts for slots whose answers are no longer held.
+func (l *loop) releaseHeld(slots []*slot) {
+	for _, s := range slots {
+		l.memory.heldAnswers.release(s.held)
+		s.held = 0
+	}
 }
 
 // flush moves the answers that are next in order to the backlog and writes it, so that they go out in one write.
@@ -269,6 +300,7 @@
 		n++
 	}
 	if n > 0 {
+		l.releaseHeld(c.slots[:n])
 		c.slots = slices.Delete(c.slots, 0, n)
 		c.backlogAnswers += n
 		c.lastActive = l.clock.now()
@@ -415,6 +447,7 @@
 			l.abandon(s.request)
 		}
 	}
+	l.releaseHeld(c.slots)
 	l.unsentBytes -= len(c.backlog) + c.writingBytes
 	c.slots, c.backlog, c.writingBytes = nil, nil, 0
 }
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -312,3 +313,27 @@
 }
 
 func mustAddr(addr string) netip.AddrPort { return netip.MustParseAddrPort(addr) }
+
+// nextAnswer splits the first complete answer from b: its line, or '$' and the value of a bulk string.
+func nextAnswer(b []byte) (text string, rest []byte, ok bool) {
+	line, rest, ok := bytes.Cut(b, []byte("\r\n"))
+	if !ok || line[0] != '$' {
+		return string(line), rest, ok
+	}
+	n, err := strconv.Atoi(string(line[1:]))
+	if err != nil || len(rest) < n+2 {
+		return "", nil, false
+	}
+	return "$" + string(rest[:n]), rest[n+2:], true
+}
+
+// countAnswers counts the complete answers in b.
+func countAnswers(b []byte) (n int) {
+	for {
+		_, rest, ok := nextAnswer(b)
+		if !ok {
+			return n
+		}
+		n, b = n+1, rest
+	}
+}
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -157,8 +157,10 @@
 	l.metrics.ServerConnections.Set(l.pool.connCount)
 	l.metrics.UnsentBytes.Set(l.unsentBytes)
 	l.metrics.CommandBytes.Set(l.memory.commands.inUse())
-	if l.unsentBytes < 0 || l.memory.commands.inUse() < 0 || l.pool.connCount < 0 {
+	l.metrics.HeldAnswerBytes.Set(l.memory.heldAnswers.inUse())
+	if l.unsentBytes < 0 || l.memory.commands.inUse() < 0 || l.memory.heldAnswers.inUse() < 0 || l.pool.connCount < 0 {
 		l.guard.reportViolation(ruleBookkeeping, "unsent", l.unsentBytes, "commands", l.memory.commands.inUse(),
+			"held", l.memory.heldAnswers.inUse(),
 			"server_connections", l.pool.connCount)
 	}
 }
@@ -306,7 +308,7 @@
 		l.metrics.Answers.Inc(resultFailed)
 		l.metrics.Failures.Inc(reasonSameID)
 		l.memory.commands.release(received.reserved)
-		c.reply(s, redcon.AppendError(nil, "ERR a request with this id is open"))
+		l.reply(c, s, redcon.AppendError(nil, "ERR a request with this id is open"))
 		l.flush(c)
 		return
 	}
@@ -334,7 +336,7 @@
 func (l *loop) refuse(c *client, s *slot, reason string) {
 	l.metrics.Answers.Inc(resultRefused)
 	l.metrics.Refusals.Inc(reason)
-	c.reply(s, busyReply(l.cfg.Settings.Decide.Limits.MaxRetryAfter))
+	l.reply(c, s, busyReply(l.cfg.Settings.Decide.Limits.MaxRetryAfter))
 	l.flush(c)
 }
 
@@ -377,7 +379,7 @@
 	if !l.guard.allowAnswer(s, r) {
 		return
 	}
-	r.client.reply(s, reply)
+	l.reply(r.client, s, reply)
 	l.flush(r.client)
 }
 
@@ -463,9 +465,18 @@
 	l.forgetIfFinished(r)
 }
 
-// deliverValue answers a request with a server's value and ends the attempt.
+// deliverValue answers a request with a server's value and ends the attempt. If the value has to wait for earlier answers
+// on its connection and there is no memory for it, the request has failed.
 func (l *loop) deliverValue(a *attempt, value []byte) {
-	l.answer(a.request, resultServed, "", value)
+	r := a.request
+	switch {
+	case r.done:
+	case l.mayHold(r.client, r.slot, value):
+		l.answer(r, resultServed, "", value)
+	default:
+		l.metrics.Failures.Inc(reasonMemory)
+		l.answer(r, resultFailed, reasonMemory, redcon.AppendError(nil, "ERR failed"))
+	}
 	l.attemptEnded(a, decide.OK)
 }
 
--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -8,6 +8,7 @@
 	commandMemoryDivisor    = 4  // commands, from when they are parsed to the final answers
 	unsentMemoryDivisor     = 8  // answers that are written to clients and not accepted yet
 	readBufferMemoryDivisor = 16 // read buffers of clients, beyond smallReadBuffer each
+	heldMemoryDivisor       = 16 // answers that are ready and wait for an earlier one on their connection
 )
 
 // commandOverhead is reserved for each request in addition to its arguments, for its timers and its entries in tables,
@@ -37,6 +38,12 @@
 	}
 }
 
+// reserve reserves n bytes, also if that exceeds the budget.
+func (b *byteBudget) reserve(n int) { b.used.Add(int64(n)) }
+
+// hasRoom reports whether n more bytes are within the budget.
+func (b *byteBudget) hasRoom(n int) bool { return b.used.Load()+int64(n) <= b.limit }
+
 // release returns n bytes that were reserved.
 func (b *byteBudget) release(n int) { b.used.Add(int64(-n)) }
 
@@ -47,6 +54,7 @@
 type memoryBudgets struct {
 	commands    byteBudget
 	readBuffers byteBudget
+	heldAnswers byteBudget
 }
 
 // newMemoryBudgets divides a memory limit, in MB.
@@ -55,5 +63,6 @@
 	return &memoryBudgets{
 		commands:    byteBudget{limit: limit / commandMemoryDivisor},
 		readBuffers: byteBudget{limit: limit / readBufferMemoryDivisor},
+		heldAnswers: byteBudget{limit: limit / heldMemoryDivisor},
 	}
 }
--- a/internal/gateway/memory_test.go
+++ b/internal/gateway/memory_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"strings"
@@ -132,3 +133,72 @@
 		t.Errorf("%d bytes of buffers and %d reserved ones are left", n, reserved)
 	}
 }
+
+// openRequestOn adds a request with one attempt to a connection, without the decision engine.
+func openRequestOn(l *loop, c *client, id string) *request {
+	r := &request{id: "test-" + id, client: c, slot: c.addSlot(), cmd: &command{id: id}, inFlight: 1}
+	r.attempts = []*attempt{{request: r}}
+	r.slot.request = r
+	l.requests[r.id] = r
+	l.openIDs[id] = struct{}{}
+	c.pendingAnswers.Add(1)
+	return r
+}
+
+// Guards against answers that fill the memory while they wait for an earlier one on their connection: they were not
+// counted until they were written. An answer without room fails, and each request still gets its one answer.
+func TestAnswersBehindOpenRequestAreBounded(t *testing.T) {
+	const clients, perClient = 3, 60
+	l := newManualLoop(t, nil)
+	limit := l.cfg.MemoryMB << 20 / heldMemoryDivisor
+	value := redcon.AppendBulkString(nil, strings.Repeat("v", maxValueBytes))
+	if clients*perClient*len(value) < 2*limit {
+		t.Fatal("the answers are too small")
+	}
+	for i := range clients {
+		near, far := tcpPair(t)
+		c := newClientOn(t, near)
+		l.clients[c] = struct{}{}
+		first := openRequestOn(l, c, fmt.Sprint("first-", i))
+		for k := range perClient {
+			r := openRequestOn(l, c, fmt.Sprint("id-", i, "-", k))
+			l.deliverValue(r.attempts[0], value)
+			if held := heldAnswers(l); held > limit+perClient*maxSmallReply {
+				t.Fatalf("%d bytes of answers are held, the limit is %d", held, limit)
+			}
+		}
+		if i+1 < clients {
+			continue
+		}
+		// an answer that does not have to wait is never failed
+		if l.deliverValue(first.attempts[0], value); first.client.isFirst(first.slot) {
+			t.Error("the first answer was not written")
+		}
+		answers := make(chan string, 1)
+		go func() {
+			b, _ := io.ReadAll(far)
+			answers <- string(b)
+		}()
+		l.pendingEvents = nil // the engine does not know these requests
+		runUntil(t, l, func() bool { return len(c.backlog) == 0 && !c.writerActive })
+		l.closeClient(c, closeDone)
+		if got := <-answers; !strings.HasPrefix(got, string(value)) || countAnswers([]byte(got)) != 1+perClient {
+			t.Errorf("the client got %d answers, want %d", countAnswers([]byte(got)), 1+perClient)
+		}
+	}
+	if failed := l.metrics.Failures.Count(reasonMemory); failed == 0 {
+		t.Error("no request failed for lack of memory")
+	}
+}
+
+// heldAnswers adds up the answers that are ready and wait for an earlier one.
+func heldAnswers(l *loop) (n int) {
+	for c := range l.clients {
+		for _, s := range c.slots {
+			if s.ready {
+				n += len(s.reply)
+			}
+		}
+	}
+	return n
+}
--- a/internal/gateway/reader.go
+++ b/internal/gateway/reader.go
@@ -387,7 +387,7 @@
 func echo(memory *byteBudget, text []byte) receivedCommand {
 	reserved := len(text) + encodeOverhead
 	if !memory.tryReserve(reserved) {
-		return receivedCommand{reply: redcon.AppendError(nil, "ERR not enough memory")}
+		return receivedCommand{reply: noMemoryReply()}
 	}
 	return receivedCommand{reply: redcon.AppendBulk(nil, text), reserved: reserved}
 }
--- a/internal/gateway/simulation_test.go
+++ b/internal/gateway/simulation_test.go
@@ -7,7 +7,6 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"flag"
@@ -788,6 +787,9 @@
 func (x *simulation) checkBounds(l *loop) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	if answers := heldAnswers(l); answers != l.memory.heldAnswers.inUse() {
+		x.failf("%d bytes of answers are held, %d are counted", answers, l.memory.heldAnswers.inUse())
+	}
 	open, held := 0, 0
 	for _, r := range l.requests {
 		if !r.done {
@@ -982,30 +984,6 @@
 	}
 }
 
-// nextAnswer splits the first complete answer from b: its line, or '$' and the value of a bulk string.
-func nextAnswer(b []byte) (text string, rest []byte, ok bool) {
-	line, rest, ok := bytes.Cut(b, []byte("\r\n"))
-	if !ok || line[0] != '$' {
-		return string(line), rest, ok
-	}
-	n, err := strconv.Atoi(string(line[1:]))
-	if err != nil || len(rest) < n+2 {
-		return "", nil, false
-	}
-	return "$" + string(rest[:n]), rest[n+2:], true
-}
-
-// countAnswers counts the complete answers in b.
-func countAnswers(b []byte) (n int) {
-	for {
-		_, rest, ok := nextAnswer(b)
-		if !ok {
-			return n
-		}
-		n, b = n+1, rest
-	}
-}
-
 // checkAnswer checks one answer of a client against the next pending command. It reports whether there was a complete
 // answer.
 func (x *simulation) checkAnswer(c *simClient) bool {
@@ -1084,9 +1062,10 @@
 	}
 	synctest.Wait()
 	l := x.loop
-	if n := len(l.requests) + len(l.openIDs) + len(l.clients) + l.memory.commands.inUse() + l.pool.connCount; n > 0 {
-		x.failf("left over: %d requests, %d ids, %d clients, %d bytes, %d connections", len(l.requests),
-			len(l.openIDs), len(l.clients), l.memory.commands.inUse(), l.pool.connCount)
+	if n := len(l.requests) + len(l.openIDs) + len(l.clients) + l.memory.commands.inUse() + l.memory.heldAnswers.inUse() + l.pool.connCount; n > 0 {
+		x.failf("left over: %d requests, %d ids, %d clients, %d bytes of commands and %d of answers, %d connections",
+			len(l.requests), len(l.openIDs), len(l.clients), l.memory.commands.inUse(), l.memory.heldAnswers.inUse(),
+			l.pool.connCount)
 	}
 	if x.openFDs > 0 {
 		x.failf("%d connections are still open", x.openFDs)
