Answer commands that wait unread when a gateway is told to end

Cause: a connection is read while fewer than 64 answers are pending on it. Behind a request at a server that hangs the limit holds until the stop deadline, 3.5 s after SIGTERM; then only the rest of a command that had begun was read (readFinishPartial), and the connection ended.

Change: once connections are drained at a stop (readRefuseExcess), requests beyond the limit of pending answers are read and refused at once instead of waiting; their refusals count as held answers, with 96 bytes each for their place, and beyond that budget the rest waits. At the stop deadline (readToEnd) each connection is read until nothing waits in the kernel. Refused requests cost no copy of their command. A client that reads its answers slowly is still not read on.

TestShutdownAnswersCommandsBehindPendingLimit: before, the connection broke while the client wrote the commands; now all 212 are answered.

--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -242,8 +242,15 @@
 
 // drain ends a connection between requests: its reader stops once no answer is pending and no input waits in the
 // kernel. Closing at once would lose a request that has arrived. A reader that stopped while answers are pending
-// would not notice that the client leaves.
-func (l *loop) drain(c *client) { l.limitReading(c, readUntilIdle) }
+// would not notice that the client leaves. If the gateway is closing, requests beyond the limit of pending answers are
+// refused, as the time left may not suffice for them to wait.
+func (l *loop) drain(c *client) {
+	if l.closing {
+		l.limitReading(c, readRefuseExcess)
+		return
+	}
+	l.limitReading(c, readUntilIdle)
+}
 
 // limitReading moves the read state of a connection forward to state and wakes its reader.
 func (l *loop) limitReading(c *client, state readState) {
@@ -266,7 +273,7 @@
 func (l *loop) reply(c *client, s *slot, b []byte) {
 	s.reply, s.ready = b, true
 	if !c.isFirst(s) {
-		s.held = len(b)
+		s.held = len(b) + answerOverhead
 		l.memory.heldAnswers.reserve(s.held)
 	}
 }
@@ -274,10 +281,10 @@
 // isFirst reports whether no earlier answer is pending.
 func (c *client) isFirst(s *slot) bool { return len(c.slots) > 0 && c.slots[0] == s }
 
-// mayHold reports whether there is memory for an answer until all earlier ones are ready. There always is for one line,
-// of which a client has at most maxPendingAnswers.
+// mayHold reports whether there is memory for an answer until all earlier ones are ready. There always is for one line:
+// the reader limits how many of them there are.
 func (l *loop) mayHold(c *client, s *slot, b []byte) bool {
-	return len(b) <= maxSmallReply || c.isFirst(s) || l.memory.heldAnswers.hasRoom(len(b))
+	return len(b) <= maxSmallReply || c.isFirst(s) || l.memory.heldAnswers.hasRoom(len(b)+answerOverhead)
 }
 
 // noMemoryReply is the answer for which there is no memory.
--- a/internal/gateway/fuzz_test.go
+++ b/internal/gateway/fuzz_test.go
@@ -84,7 +84,7 @@
 				t.Fatalf("%d arguments with a capacity of %d", len(args), cap(args))
 			}
 			sent := cloneArgs(args)
-			got := interpret(cfg, &newMemoryBudgets(maxMemoryMB).commands, args, time.Hour)
+			got := interpret(cfg, &newMemoryBudgets(maxMemoryMB).commands, args, time.Hour, "")
 			clear(buf[:used]) // as the reader reuses its buffer
 			if got.cmd != nil {
 				results = append(results, string(checkCommand(t, cfg, got.cmd, sent)))
@@ -145,7 +145,7 @@
 		if !slices.Equal(sentFields, forwardedFields) {
 			t.Fatalf("%q: list forwarded as %q", sent, forwardedFields)
 		}
-		if got := interpret(cfg, &newMemoryBudgets(maxMemoryMB).commands, args, time.Hour); got.cmd == nil {
+		if got := interpret(cfg, &newMemoryBudgets(maxMemoryMB).commands, args, time.Hour, ""); got.cmd == nil {
 			t.Fatalf("%q: forwarded as %q, which is answered with %q", sent, b, got.reply)
 		}
 	}
@@ -455,7 +455,7 @@
 			list := fmt.Sprintf("c=%s,t=%s,k=7,d=%d", class.Name, plan.Name,
 				max(1, min(time.Second, class.Deadline)/time.Millisecond))
 			args := [][]byte{[]byte(name), []byte(customer), []byte("id"), []byte(list)}
-			got := interpret(&cfg, &l.memory.commands, args, l.clock.now())
+			got := interpret(&cfg, &l.memory.commands, args, l.clock.now(), "")
 			if got.cmd == nil {
 				t.Fatalf("%q was answered with %q", list, got.reply)
 			}
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -302,6 +302,7 @@
 	if reason := l.rejectReason(); reason != "" {
 		l.memory.commands.release(received.reserved)
 		l.refuse(c, s, reason)
+		l.flush(c)
 		return
 	}
 	if _, open := l.openIDs[cmd.id]; open { // two requests with the same id must never receive each other's answers
@@ -337,7 +338,6 @@
 	l.metrics.Answers.Inc(resultRefused)
 	l.metrics.Refusals.Inc(reason)
 	l.reply(c, s, busyReply(l.cfg.Settings.Decide.Limits.MaxRetryAfter))
-	l.flush(c)
 }
 
 // rejectReason returns the reason why this gateway can't take a request at all, or "".
--- a/internal/gateway/loop_test.go
+++ b/internal/gateway/loop_test.go
@@ -67,7 +67,7 @@
 	c := newClientOn(t, near)
 	l.clients[c] = struct{}{}
 	got := interpret(&l.cfg, &l.memory.commands, [][]byte{[]byte("Q.ASK"), []byte(customer), []byte("id"),
-		[]byte("c=look,t=p,d=30000,units=1,spread=2,first=0")}, l.clock.now())
+		[]byte("c=look,t=p,d=30000,units=1,spread=2,first=0")}, l.clock.now(), "")
 	commandBatch{client: c, commands: []receivedCommand{got}}.apply(l)
 	for _, r := range l.requests {
 		return r, far
--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -15,6 +15,9 @@
 // in bytes.
 const commandOverhead = 1 << 10
 
+// answerOverhead is reserved for each answer that is held, in addition to its bytes, for its place in the order of answers.
+const answerOverhead = 96
+
 // byteBudget bounds the bytes that a part of the gateway holds. Reserving never blocks: whoever gets no bytes refuses
 // the work or tries again later. It is safe for concurrent use.
 type byteBudget struct {
--- a/internal/gateway/memory_test.go
+++ b/internal/gateway/memory_test.go
@@ -163,7 +163,7 @@
 		for k := range perClient {
 			r := openRequestOn(l, c, fmt.Sprint("id-", i, "-", k))
 			l.deliverValue(r.attempts[0], value)
-			if held := heldAnswers(l); held > limit+perClient*maxSmallReply {
+			if held := heldAnswers(l); held > limit+perClient*(maxSmallReply+answerOverhead) {
 				t.Fatalf("%d bytes of answers are held, the limit is %d", held, limit)
 			}
 		}
@@ -191,12 +191,12 @@
 	}
 }
 
-// heldAnswers adds up the answers that are ready and wait for an earlier one.
+// heldAnswers returns the memory for answers that are ready and wait for an earlier one, in bytes.
 func heldAnswers(l *loop) (n int) {
 	for c := range l.clients {
 		for _, s := range c.slots {
 			if s.ready {
-				n += len(s.reply)
+				n += len(s.reply) + answerOverhead
 			}
 		}
 	}
--- a/internal/gateway/reader.go
+++ b/internal/gateway/reader.go
@@ -124,8 +124,8 @@
 		return true
 	case len(r.buf) > 0:
 		return false
-	case state == readFinishPartial:
-		return true
+	case state == readToEnd:
+		return r.client.slow.Load() || r.client.conn.Quiet()
 	}
 	return r.client.slow.Load() || r.client.pendingAnswers.Load() == 0 && r.client.conn.Quiet()
 }
@@ -152,20 +152,39 @@
 	return r.timeoutStart.Add(r.timeouts.command)
 }
 
+// tooManyPending reports whether the limit of pending answers is reached, counting those of queued more commands.
+func (r *clientReader) tooManyPending(queued int) bool {
+	return int(r.client.pendingAnswers.Load())+queued >= maxPendingAnswers
+}
+
 // atPendingLimit reports that no further commands are processed because too many answers are pending.
-func (r *clientReader) atPendingLimit() bool {
-	return r.client.pendingAnswers.Load() >= maxPendingAnswers && r.client.readState.load() < readFinishPartial
+func (r *clientReader) atPendingLimit() bool { return r.tooManyPending(0) && !r.refusesExcess() }
+
+// refusesExcess reports whether requests beyond the limit of pending answers are refused instead of waiting. Before the
+// process ends every request has to be answered, and those before may be open until then, at servers that hang. A
+// client that is slow to accept its answers could not be answered in time. The refusals take memory until the answers
+// before them are ready.
+func (r *clientReader) refusesExcess() bool {
+	state := r.client.readState.load()
+	return state >= readToEnd || state == readRefuseExcess && !r.client.slow.Load() && r.memory.heldAnswers.hasRoom(0)
+}
+
+// refusalReason returns why a request behind queued other commands of its batch is refused, or "".
+func (r *clientReader) refusalReason(queued int) string {
+	if r.client.readState.load() >= readToEnd || r.refusesExcess() && r.tooManyPending(queued) {
+		return reasonStopping
+	}
+	return ""
 }
 
 // readBudget returns how many bytes may be read now. While the limit of pending answers is reached, it allows reading
 // ahead up to the size of one command, so that the client's disconnect is noticed. On a connection that is to end,
 // everything read has to be answered before the platform kills the gateway. There only the rest of a command that has
-// begun is read in three cases: the limit of pending answers is reached, the client is slow, or the read state is
-// readFinishPartial or later.
+// begun is read if the client is slow, or if commands have to wait until fewer answers are pending.
 func (r *clientReader) readBudget() int {
-	state, atLimit := r.client.readState.load(), r.atPendingLimit()
+	atLimit := r.atPendingLimit()
 	switch {
-	case state >= readFinishPartial, state == readUntilIdle && (atLimit || r.client.slow.Load()):
+	case r.client.readState.load() >= readUntilIdle && (atLimit || r.client.slow.Load()):
 		return missingBytes(r.buf)
 	case atLimit:
 		return max(0, maxCommandBytes-len(r.buf))
@@ -329,7 +348,8 @@
 			break
 		}
 		used += n
-		commands = append(commands, interpret(r.cfg, &r.memory.commands, r.args, r.times.receivedAt(used)))
+		receivedAt := r.times.receivedAt(used)
+		commands = append(commands, interpret(r.cfg, &r.memory.commands, r.args, receivedAt, r.refusalReason(len(commands))))
 	}
 	return commands, used, err
 }
@@ -354,8 +374,9 @@
 
 // interpret converts a command whose last byte was received at receivedAt into a request, or into a ready answer. It
 // copies what it keeps of args, and reserves memory for that. Without memory for it, a request is refused: the loop may be
-// far behind, and until it sees a command nothing else limits how much all clients together have sent.
-func interpret(cfg *Config, memory *byteBudget, args [][]byte, receivedAt time.Duration) receivedCommand {
+// far behind, and until it sees a command nothing else limits how much all clients together have sent. If refusal is not
+// empty, requests are refused for that reason.
+func interpret(cfg *Config, memory *byteBudget, args [][]byte, receivedAt time.Duration, refusal string) receivedCommand {
 	if len(args) == 0 {
 		return receivedCommand{reply: redcon.AppendError(nil, "ERR empty command")}
 	}
@@ -366,6 +387,9 @@
 		if err != nil {
 			return receivedCommand{reply: redcon.AppendError(nil, "ERR "+err.Error())}
 		}
+		if refusal != "" {
+			return receivedCommand{refusal: refusal}
+		}
 		reserved := cmd.size() + commandOverhead
 		if !memory.tryReserve(reserved) {
 			return receivedCommand{refusal: reasonMemory}
--- a/internal/gateway/regression_test.go
+++ b/internal/gateway/regression_test.go
@@ -21,6 +21,8 @@
 	}
 	all := []regression{
 		{"more commands than may be pending, then SIGTERM", scenario{2, 256, 1000, 1, 1, 1000}, []action{{actConnect, 0, 1}, {actSend, 4, 195}}},
+		{"more commands than may be pending and are read ahead, after SIGTERM", scenario{2, 112, 1000, 0, 0, 1000},
+			[]action{{actConnect, 0, 1}, {actSend, 0, 255}, {actStop, 0, 1}, {actSend, 6, 182}}},
 		{"more commands than may be pending from a slow but steady reader, then SIGTERM", scenario{2, 256, 1000, 1, 1, 1000},
 			[]action{{actConnect, 0, 1}, {actSend, 0, 131}, {actSlowRead, 0, 0}}},
 		{"commands of a client that turns out to be slow are read during the shutdown", scenario{2, 256, 1000, 1, 1, 1000},
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -35,7 +35,7 @@
 	shutdownMargin  = 200 * time.Millisecond
 	// Clients that read their last answers slowly have this long. The platform may kill the gateway earlier.
 	lastAnswerTimeout = 10 * time.Second
-	// Requests that were read ahead are refused within this time. Connections linger for lingerInterval before they are
+	// Requests that were read ahead or wait in the kernel are refused within this time. Connections linger for lingerInterval before they are
 	// closed, and that must also fit into shutdownMargin.
 	finalReadGrace = shutdownMargin - lingerInterval - 10*time.Millisecond
 )
@@ -141,14 +141,14 @@
 }
 
 // stopAll fails the requests that are still open, such as those at servers that hang, and ends all connections.
-// Requests that were read ahead are refused. Input that is unread stays unread, and its client sends it again to
-// another gateway. The reader decides last which commands were read, so that none is lost between the reader and the
-// loop.
+// Requests that were read ahead, and those that wait in the kernel, are refused: they count as taken, and their clients
+// wait for an answer. Only what arrives as a connection ends stays unread; its client sends it again to another gateway.
+// The reader decides last which commands were read, so that none is lost between the reader and the loop.
 func (l *loop) stopAll() {
 	l.closing = true
 	for c := range l.clients {
 		l.failOpenRequests(c, reasonStopping)
-		l.limitReading(c, readFinishPartial)
+		l.limitReading(c, readToEnd)
 	}
 	l.schedule(l.clock.now()+finalReadGrace, func() {
 		for c := range l.clients {
--- a/internal/gateway/shutdown_test.go
+++ b/internal/gateway/shutdown_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"io"
 	"net"
 	"strings"
@@ -131,6 +132,38 @@
 	}
 }
 
+// Guards against commands that get no answer at a planned restart because they wait unread, behind as many pending
+// answers as are allowed, while the servers hang. Each command that was written before the end is answered.
+func TestShutdownAnswersCommandsBehindPendingLimit(t *testing.T) {
+	const first, second = 3 * maxPendingAnswers, 20
+	h := newHarness(t, longTarget, newBackend(t)) // the server never answers
+	c := h.dial(t)
+	answers := make(chan int, 1)
+	go func() {
+		b, err := io.ReadAll(c.conn)
+		if err != nil {
+			t.Error(err)
+		}
+		answers <- countAnswers(b)
+	}()
+	for i := range first {
+		c.sendRaw(longRedeem(fmt.Sprint("first-", i)))
+		if i == first/2 {
+			h.stop()
+		}
+	}
+	time.Sleep(time.Second)
+	for i := range second {
+		c.sendRaw(longRedeem(fmt.Sprint("second-", i)))
+	}
+	if got := <-answers; got != first+second {
+		t.Errorf("%d of %d commands were answered", got, first+second)
+	}
+	if err := <-h.done; err != nil {
+		t.Error(err)
+	}
+}
+
 // Closing a connection with unread input sends a reset, which may destroy an answer on its way. So the gateway first
 // ends its sending side and closes the connection later.
 func TestResetOnCloseDoesNotDestroyAnswer(t *testing.T) {
--- a/internal/gateway/simulation_test.go
+++ b/internal/gateway/simulation_test.go
@@ -41,6 +41,9 @@
 	// No request goes to a server later than this after it is reported as draining: grace period and slack.
 	drainGrace  = 300 * time.Millisecond
 	answerSlack = 60 * time.Millisecond // an answer may be late by this much
+	// "Between requests, a gateway may close [a connection]; if that crosses a request it has not read, the client sends
+	// that request once more." The bytes of the simulation take no time; the gateway may end a connection for this long.
+	closeCrossing = finalReadGrace
 	// "At most what is left to the client, with 0.15 s of slack."
 	deadlineSlack   = 150 * time.Millisecond
 	maxShutdownTime = 4 * time.Second // from SIGTERM to the loop's end: the longest deadline plus 0.7 s, and a linger
@@ -174,6 +177,7 @@
 	notReadingSince time.Time
 	windowFull      bool // its receive window was full when its bytes were last moved
 	slowReader      bool // reads slowly but steadily
+	wasSlow         bool // did not read all at once at some time
 	lastSlowRead    time.Time
 	goneAt          time.Time // when it disconnected; zero while connected
 	closed          bool
@@ -905,7 +909,10 @@
 		return false
 	}
 	c.recordReads()
-	defer func() { c.windowFull = c.far.full() }()
+	defer func() {
+		c.windowFull = c.far.full()
+		c.wasSlow = c.wasSlow || c.windowFull || c.slowReader || c.notReading
+	}()
 	n := 0
 	if len(c.unwritten) > 0 && c.goneAt.IsZero() {
 		n, _ = c.far.TryWrite(c.unwritten)
@@ -927,8 +934,13 @@
 		c.recordBreak() // the break may have happened since the bytes above were written
 		c.closed = true
 		for _, r := range c.pending {
-			if r != nil && !r.noAnswerDue && !c.stalled && c.goneAt.IsZero() && r.endOffset <= c.near.bytesRead() {
+			if r == nil || r.noAnswerDue || c.stalled || !c.goneAt.IsZero() {
+				continue
+			}
+			if r.endOffset <= c.near.bytesRead() {
 				x.failf("%s is lost: its connection was closed without an answer", r.id)
+			} else if !r.sentAt.IsZero() && time.Since(r.sentAt) > closeCrossing && !c.wasSlow {
+				x.failf("%s is lost: it was sent %v before its connection was closed, and not read", r.id, time.Since(r.sentAt))
 			}
 		}
 	}
