Don't count the time that a reader waits for the loop against its client

Callers: clients that write and read without a pause get "the command did not end in time" when the gateway is busy, and the commands behind are not answered.

Cause: the reader sets the read deadline and then posts commands, which blocks while the inbox is full. Posting starts the time of the next command anew, but the decision whether that has passed was made by the deadline from before.

Change: it is made by the deadline as of now. A client that is late is still cut off (TestSlowlySentCommandTimesOut).

TestTimeWaitingForTheLoopIsNotTheClients gets the protocol error before the change and the answer after it.

--- a/internal/gateway/misbehaving_client_test.go
+++ b/internal/gateway/misbehaving_client_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"winghatch/decide"
+	"winghatch/internal/telemetry"
 )
 
 // shortTimeouts are short enough for a test to wait for them.
@@ -46,6 +47,38 @@
 	}
 }
 
+// Guards against cutting off a client because the gateway is busy: while the reader waits until the loop takes its
+// commands, the time for the next command does not run.
+func TestTimeWaitingForTheLoopIsNotTheClients(t *testing.T) {
+	cfg := testConfig(t, longTarget, nil)
+	near, far := tcpPair(t)
+	c := newClientOn(t, near)
+	if _, err := io.WriteString(far, "*1\r\n$4\r\nPING\r\n*1\r\n$4\r\nPI"); err != nil {
+		t.Fatal(err)
+	}
+	var posted []commandBatch
+	post := func(e event) {
+		if batch, ok := e.(commandBatch); ok {
+			posted = append(posted, batch)
+		}
+		if len(posted) == 1 { // the inbox is full
+			if _, err := io.WriteString(far, "NG\r\n"); err != nil {
+				t.Error(err)
+			}
+			time.Sleep(3 * shortTimeouts.command)
+		}
+		c.pendingAnswers.Store(0)
+	}
+	r := clientReader{client: c, cfg: &cfg, clock: newClock(), timeouts: shortTimeouts, metrics: telemetry.New(),
+		memory: newMemoryBudgets(cfg.MemoryMB), post: post}
+	r.run()
+	for i, batch := range posted[:min(2, len(posted))] {
+		if len(batch.commands) != 1 || string(batch.commands[0].reply) != "+PONG\r\n" {
+			t.Errorf("batch %d: %d commands, the first is answered with %q", i, len(batch.commands), batch.commands[0].reply)
+		}
+	}
+}
+
 // Guards against a client that extends the command timeout by sending one byte at a time.
 func TestSlowlySentCommandTimesOut(t *testing.T) {
 	l := newManualLoop(t, nil)
--- a/internal/gateway/reader.go
+++ b/internal/gateway/reader.go
@@ -101,7 +101,8 @@
 		case !errors.Is(err, os.ErrDeadlineExceeded):
 			r.post(clientDisconnected{r.client})
 			return
-		case blocked, time.Now().Before(deadline): // blocked by pending answers or for memory, or woken by the loop
+		// blocked by pending answers or for memory, or woken by the loop, or held up by the loop while the deadline passed
+		case blocked, time.Now().Before(r.readDeadline()):
 		case len(r.buf) > 0:
 			r.sendProtocolError(errCommandTimeout, false)
 			return
