Bound the long answers of servers until the loop handles them

Cause: each connection to a server reads an answer into a buffer that grows to 128 KiB, and its copy waits in the inbox, which is bounded by the number of events. With 256 descriptors there are 112 such connections: 21 MB, whatever the memory limit.

Change: a sixteenth of the memory limit bounds them (serverAnswers). A buffer beyond 4 KiB needs a reservation, which is kept until the loop handles the answer. Without one the reader waits, at most as long as an answer may take to arrive (250 ms); then the attempt ends as cancelled, which may have run and does not count against the server. A buffer ends at 77 KiB. The reader of answers moves from upstream.go to answerreader.go as a type of its own.

TestLongServerAnswersAreBounded: with the reservation taken out two connections hold 157,696 bytes, 78,848 are allowed, and the second answer is read though the first was not handled; passes with it. The search now checks that no budget keeps anything at the end.

--- a/internal/gateway/dial.go
+++ b/internal/gateway/dial.go
@@ -63,7 +63,8 @@
 		return
 	}
 	p.open[c] = struct{}{}
-	p.loop.tasks.Go(func() { c.readAnswers(p.loop.inbox.post) })
+	reader := answerReader{conn: c, memory: &p.loop.memory.serverAnswers, post: p.loop.inbox.post}
+	p.loop.tasks.Go(reader.run)
 	if s.entry.State != decide.Serving || s.addr != d.addr {
 		p.close(c, serverCloseReplaced)
 		p.loop.attemptEnded(a, decide.NoConnection)
--- a/internal/gateway/malformed_answer_test.go
+++ b/internal/gateway/malformed_answer_test.go
@@ -230,8 +230,8 @@
 		"all at once":     {[]string{full}, true},
 	} {
 		c := &upstreamConn{connection: connection{conn: &delayedConn{reads: tc.reads}}}
-		buf := make([]byte, 0, initialReadBuffer)
-		a, _, err := c.readAnswer(&buf)
+		r := answerReader{conn: c, buf: make([]byte, 0, initialReadBuffer)}
+		a, _, err := r.readAnswer()
 		if (err == nil) != tc.ok || tc.ok && a.outcome != decide.OK || !tc.ok && !errors.Is(err, errMalformedAnswer) {
 			t.Errorf("%s: %v, %v", name, a.outcome, err)
 		}
--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -8,6 +8,7 @@
 	commandMemoryDivisor    = 4  // commands, from when they are parsed to the final answers
 	unsentMemoryDivisor     = 8  // answers that are written to clients and not accepted yet
 	readBufferMemoryDivisor = 16 // read buffers of clients, beyond smallReadBuffer each
+	serverMemoryDivisor     = 16 // long answers of servers, until the loop handles them
 	heldMemoryDivisor       = 16 // answers that are ready and wait for an earlier one on their connection
 )
 
@@ -55,17 +56,19 @@
 
 // memoryBudgets are the budgets of a gateway.
 type memoryBudgets struct {
-	commands    byteBudget
-	readBuffers byteBudget
-	heldAnswers byteBudget
+	commands      byteBudget
+	readBuffers   byteBudget
+	serverAnswers byteBudget
+	heldAnswers   byteBudget
 }
 
 // newMemoryBudgets divides a memory limit, in MB.
 func newMemoryBudgets(memoryMB int) *memoryBudgets {
 	limit := int64(memoryMB) << 20
 	return &memoryBudgets{
-		commands:    byteBudget{limit: limit / commandMemoryDivisor},
-		readBuffers: byteBudget{limit: limit / readBufferMemoryDivisor},
-		heldAnswers: byteBudget{limit: limit / heldMemoryDivisor},
+		commands:      byteBudget{limit: limit / commandMemoryDivisor},
+		readBuffers:   byteBudget{limit: limit / readBufferMemoryDivisor},
+		serverAnswers: byteBudget{limit: limit / serverMemoryDivisor},
+		heldAnswers:   byteBudget{limit: limit / heldMemoryDivisor},
 	}
 }
--- a/internal/gateway/memory_test.go
+++ b/internal/gateway/memory_test.go
@@ -191,6 +191,64 @@
 	}
 }
 
+// startAnswerReader reads the answers on a new connection to a server. One request is written on it.
+func startAnswerReader(t *testing.T, l *loop) (c *upstreamConn, server net.Conn) {
+	t.Helper()
+	near, server := tcpPair(t)
+	c, err := newUpstreamConn(near, &upstream{connCount: 1}, l.clock.now())
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.pool.connCount++
+	l.pool.open[c] = struct{}{}
+	c.requestWritten.Store(true)
+	reader := answerReader{conn: c, memory: &l.memory.serverAnswers, post: l.inbox.post}
+	l.tasks.Go(reader.run)
+	c.notifyReader()
+	return c, server
+}
+
+// Guards against long answers of many servers at once that fill the memory before the loop handles them: each connection
+// had a buffer of up to 128 KiB. An answer without memory waits for a while, and then fails without blame for its server.
+func TestLongServerAnswersAreBounded(t *testing.T) {
+	answer := servedReply(strings.Repeat("v", maxValueBytes))
+	for name, tc := range map[string]struct{ handled, want bool }{
+		"the first answer is handled in time": {true, true},
+		"the first answer is not handled":     {false, false},
+	} {
+		l := newManualLoop(t, nil)
+		l.memory.serverAnswers.limit = maxAnswerBuffer
+		_, server := startAnswerReader(t, l)
+		sendInBackground(server, answer)
+		first := nextEvent(t, l).(answerReceived)
+		_, server = startAnswerReader(t, l)
+		sendInBackground(server, answer)
+		time.Sleep(answerReadTimeout / 5)
+		if n := l.memory.serverAnswers.inUse(); n != maxAnswerBuffer {
+			t.Errorf("%s: %d bytes are reserved", name, n)
+		}
+		if tc.handled {
+			first.apply(l)
+		}
+		switch e := nextEvent(t, l).(type) {
+		case answerReceived:
+			if e.apply(l); !tc.want || len(e.value) < maxValueBytes {
+				t.Errorf("%s: got an answer of %d bytes", name, len(e.value))
+			}
+		case readFailed:
+			if e.apply(l); tc.want || !e.noMemory || e.malformed {
+				t.Errorf("%s: %+v", name, e)
+			}
+		}
+		if !tc.handled {
+			first.apply(l)
+		}
+		if n := l.memory.serverAnswers.inUse(); n != 0 {
+			t.Errorf("%s: %d bytes stay reserved", name, n)
+		}
+	}
+}
+
 // heldAnswers returns the memory for answers that are ready and wait for an earlier one, in bytes.
 func heldAnswers(l *loop) (n int) {
 	for c := range l.clients {
--- a/internal/gateway/simulation_test.go
+++ b/internal/gateway/simulation_test.go
@@ -1074,7 +1074,8 @@
 	}
 	synctest.Wait()
 	l := x.loop
-	if n := len(l.requests) + len(l.openIDs) + len(l.clients) + l.memory.commands.inUse() + l.memory.heldAnswers.inUse() + l.pool.connCount; n > 0 {
+	if n := len(l.requests) + len(l.openIDs) + len(l.clients) + l.memory.commands.inUse() + l.memory.heldAnswers.inUse() +
+		l.memory.serverAnswers.inUse() + l.memory.readBuffers.inUse() + l.pool.connCount; n > 0 {
 		x.failf("left over: %d requests, %d ids, %d clients, %d bytes of commands and %d of answers, %d connections",
 			len(l.requests), len(l.openIDs), len(l.clients), l.memory.commands.inUse(), l.memory.heldAnswers.inUse(),
 			l.pool.connCount)
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -2,9 +2,7 @@
 
 import (
 	"bytes"
-	"errors"
 	"net"
-	"os"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -13,16 +11,12 @@
 )
 
 const (
-	maxConnsPerServer = 64      // connections to one server, open or being dialed
-	initialReadBuffer = 1 << 10 // initial size of a connection's read buffer, in bytes
+	maxConnsPerServer = 64 // connections to one server, open or being dialed
 	// How long a connection rests after an answer before it is reused. Anything that a server sends right after an
 	// answer, such as a duplicate, takes as long to arrive as the answer did, plus or minus the network's jitter. If
 	// the kernel holds no data after this time, the connection is in sync. A connection that is reused sooner could
 	// give the next request another request's answer.
 	quiescenceTime = 10 * time.Millisecond
-	// Limits the time from the first byte of an answer to its last. A server writes an answer in one go. If one is
-	// still incomplete after this time, the time left to the request is better spent otherwise.
-	answerReadTimeout = 250 * time.Millisecond
 	// How late the loop may handle a timeout that still counts against the server. The loop is late when the core was
 	// busy elsewhere. Beyond this delay the server's answer may be waiting unread, so the timeout says nothing about
 	// the server.
@@ -385,9 +379,13 @@
 	conn *upstreamConn
 	answer
 	afterRequest bool // it began after the last byte of the request was written
+	reserved     int  // bytes reserved in the budget for server answers
 }
 
-func (e answerReceived) apply(l *loop) { l.ifOpen(&e.conn.connection, func() { l.pool.onAnswer(e) }) }
+func (e answerReceived) apply(l *loop) {
+	l.memory.serverAnswers.release(e.reserved)
+	l.ifOpen(&e.conn.connection, func() { l.pool.onAnswer(e) })
+}
 
 func (p *pool) onAnswer(e answerReceived) {
 	c, a, l := e.conn, e.conn.attempt, p.loop
@@ -415,6 +413,7 @@
 type readFailed struct {
 	conn      *upstreamConn
 	malformed bool
+	noMemory  bool // there was no memory for a long answer
 }
 
 func (e readFailed) apply(l *loop) { l.ifOpen(&e.conn.connection, func() { l.pool.onReadFailure(e) }) }
@@ -426,73 +425,9 @@
 	case a == nil || c.writerActive: // the writer has yet to report whether it wrote the last byte
 	case e.malformed && a.sent:
 		l.attemptEnded(a, decide.Error) // the server answered, so the request may have run
+	case e.noMemory && a.sent:
+		l.attemptEnded(a, decide.Cancelled) // this is not the server's fault
 	default:
 		l.pool.attemptConnBroken(a)
 	}
 }
-
-// readAnswers reads one answer for each request that is written, until the connection ends or something other than an
-// answer arrives. Between answers it reads nothing: unsolicited data stays in the kernel, where sendRequest detects it.
-// If it were read here, a duplicate answer held by the reader could be taken for the answer to the next request.
-func (c *upstreamConn) readAnswers(post func(event)) {
-	buf := make([]byte, 0, initialReadBuffer)
-	for {
-		select {
-		case <-c.wake:
-		case <-c.done:
-			return
-		}
-		a, afterRequest, err := c.readAnswer(&buf)
-		if err != nil {
-			post(readFailed{c, errors.Is(err, errMalformedAnswer)})
-			return
-		}
-		post(answerReceived{c, a, afterRequest})
-		if !a.inSync {
-			return // the loop closes it
-		}
-		if buf = buf[:0]; cap(buf) > initialReadBuffer {
-			buf = make([]byte, 0, initialReadBuffer)
-		}
-	}
-}
-
-// readAnswer reads one answer. The second result is whether it began after the last byte of the request was written.
-func (c *upstreamConn) readAnswer(buf *[]byte) (_ answer, afterRequest bool, _ error) {
-	b := *buf
-	extended := false
-	for started := false; ; {
-		if len(b) == cap(b) {
-			b = slices.Grow(b, cap(b))
-		}
-		n, err := c.conn.Read(b[len(b):cap(b)])
-		if len(b) == 0 {
-			afterRequest = c.requestWritten.Load()
-		}
-		b = b[:len(b)+n]
-		*buf = b
-		a, used, parseErr := parseAnswer(b)
-		switch {
-		case parseErr == nil && !extended && errors.Is(err, os.ErrDeadlineExceeded) && !c.conn.Quiet():
-			extended = true // this gateway was delayed: the missing bytes may be waiting in the kernel
-			if err := c.conn.SetReadDeadline(time.Now().Add(answerReadTimeout)); err != nil {
-				return a, afterRequest, err
-			}
-		case parseErr != nil, errors.Is(err, os.ErrDeadlineExceeded):
-			return a, afterRequest, errMalformedAnswer
-		case used > 0:
-			a.value, a.inSync = bytes.Clone(a.value), a.inSync && used == len(b) && err == nil
-			if started {
-				err = c.conn.SetReadDeadline(time.Time{})
-			}
-			return a, afterRequest, err
-		case err != nil:
-			return a, afterRequest, err
-		case !started:
-			started = true
-			if err := c.conn.SetReadDeadline(time.Now().Add(answerReadTimeout)); err != nil {
-				return a, afterRequest, err
-			}
-		}
-	}
-}
