Count copies of requests that servers accept slowly against the commands' memory

Cause: a request that a server's socket does not take at once is written in the background from a copy of up to 68 KiB, which no limit counted: up to 112 of them with 256 descriptors.

Change: the copy is reserved from the budget of commands until it is written. Without memory for it the connection is closed before the last byte, so the attempt never ran (not sent) and the server is not blamed.

TestWritesToServersAreBounded: with the reservation taken out 1,090 bytes are counted where the copy alone takes 262,210, and the attempt without memory goes on; passes with it.

--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -189,6 +189,8 @@
 			e.discard(l)
 		case commandBatch:
 			l.discardCommands(e.commands)
+		case requestWriteDone:
+			e.releaseMemory(l)
 		case answerReceived:
 			l.memory.serverAnswers.release(e.reserved)
 		}
--- a/internal/gateway/memory_test.go
+++ b/internal/gateway/memory_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/tidwall/redcon"
+
+	"winghatch/decide"
 )
 
 // longRedeem returns an encoded keyed request with a body of the largest size.
@@ -260,3 +262,27 @@
 	}
 	return n
 }
+
+// Guards against copies of long requests that fill the memory while servers accept them slowly. The copy counts as
+// long as it is written. Without memory for it the attempt never ran, and the server is not blamed.
+func TestWritesToServersAreBounded(t *testing.T) {
+	l, a, far := openLargeRequest(t)
+	if n, request := l.memory.commands.inUse(), a.request; n < request.reserved+request.cmd.size() {
+		t.Errorf("%d bytes are reserved, the request takes %d and what is written %d", n, request.reserved, request.cmd.size())
+	}
+	go io.Copy(io.Discard, far)
+	for a.conn.writerActive {
+		applyPosted(l)
+	}
+	if n := l.memory.commands.inUse(); n != a.request.reserved {
+		t.Errorf("%d bytes are reserved after the write", n)
+	}
+
+	l, a = newLargeRequest(t)
+	l.memory.commands.limit = int64(l.memory.commands.inUse())
+	near, _ := smallBufferPair(t)
+	dialDone{a, a.server.addr, near, nil}.apply(l)
+	if !a.ended || a.outcome != decide.NotSent || l.pool.connCount != 0 {
+		t.Errorf("the attempt ended: %v, as %v; %d connections", a.ended, a.outcome, l.pool.connCount)
+	}
+}
--- a/internal/gateway/simulation_test.go
+++ b/internal/gateway/simulation_test.go
@@ -801,6 +801,9 @@
 			held += r.reserved
 		}
 	}
+	for c := range l.pool.open {
+		held += c.writeReserved
+	}
 	switch {
 	case x.maxFDs > l.cfg.Sockets-reservedSockets:
 		x.failf("%d connections with %d descriptors", x.maxFDs, l.cfg.Sockets)
--- a/internal/gateway/slow_test.go
+++ b/internal/gateway/slow_test.go
@@ -62,9 +62,8 @@
 	}
 }
 
-// openLargeRequest opens a request whose body is too large to be written at once, on a connection to a server with a
-// small send buffer.
-func openLargeRequest(t *testing.T) (*loop, *attempt, net.Conn) {
+// newLargeRequest opens a request whose body is too large to be written at once. Its attempt has no connection yet.
+func newLargeRequest(t *testing.T) (*loop, *attempt) {
 	t.Helper()
 	l := newManualLoop(t, unreachableServers(t))
 	l.pool.dialTimeout = 0 // the attempt's own dial fails; the test supplies the connection
@@ -73,8 +72,14 @@
 		t.Fatal("the dial did not fail")
 	}
 	r.cmd.args = append(r.cmd.args, bytes.Repeat([]byte("x"), 256<<10))
+	return l, r.attempts[0]
+}
+
+// openLargeRequest opens such a request on a connection to a server with a small send buffer.
+func openLargeRequest(t *testing.T) (*loop, *attempt, net.Conn) {
+	t.Helper()
+	l, a := newLargeRequest(t)
 	near, far := smallBufferPair(t)
-	a := r.attempts[0]
 	dialDone{a, a.server.addr, near, nil}.apply(l)
 	if a.conn == nil || !a.conn.writerActive || a.sent {
 		t.Fatal("the request was written at once")
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -42,6 +42,7 @@
 	serverCloseBroken           serverCloseReason = "broken"
 	serverCloseAttemptAbandoned serverCloseReason = "given_up" // its attempt was cancelled or timed out
 	serverCloseShutdown         serverCloseReason = "shutdown"
+	serverCloseNoMemory         serverCloseReason = "memory" // there was none for the rest of a request
 )
 
 // upstream is a server with its connections.
@@ -61,6 +62,7 @@
 	attempt        *attempt // whose answer is pending, or nil
 	lastUsed       time.Duration
 	requestWritten atomic.Bool // the last byte of the latest request has been written
+	writeReserved  int         // bytes reserved for a request that is being written in the background
 }
 
 func newUpstreamConn(conn net.Conn, s *upstream, now time.Duration) (*upstreamConn, error) {
@@ -242,6 +244,11 @@
 		}
 		return n > 0
 	}
+	if n < len(b) && !p.loop.memory.commands.tryReserve(len(b)) { // this copy of the command stays until it is written
+		p.close(c, serverCloseNoMemory)
+		p.loop.attemptEnded(a, decide.NotSent) // the last byte was not written
+		return true
+	}
 	c.attempt, a.conn, c.lastUsed = a, c, p.loop.clock.now()
 	c.requestWritten.Store(n == len(b))
 	c.notifyReader()
@@ -249,6 +256,7 @@
 		a.sent = true
 		return true
 	}
+	c.writeReserved = len(b)
 	c.writeRest(p.loop, b[n:], writeTimeouts{total: p.requestWriteLimit(a)}, func(err error) event {
 		c.requestWritten.Store(err == nil)
 		return requestWriteDone{c, a, err}
@@ -276,6 +284,7 @@
 }
 
 func (s requestWriteDone) apply(l *loop) {
+	s.releaseMemory(l)
 	s.conn.writerActive = false
 	if s.err == nil {
 		s.attempt.sent = true
@@ -287,6 +296,12 @@
 	l.pool.attemptConnBroken(s.attempt)
 }
 
+// releaseMemory releases what was reserved for the write.
+func (s requestWriteDone) releaseMemory(l *loop) {
+	l.memory.commands.release(s.conn.writeReserved)
+	s.conn.writeReserved = 0
+}
+
 // attemptConnBroken ends an attempt whose connection broke. The request can have run only if its last byte was written.
 func (p *pool) attemptConnBroken(a *attempt) {
 	outcome := decide.NoConnection
