Read on from a slow client whose connection is drained to make room

Cause: a connection that is to end stopped being read at the first write that its client did not accept at once.

Change: only when the process is to end does a slow client end the reading.

--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -44,7 +44,7 @@
 	lastActive     time.Duration // when the client connected or its latest answer was queued
 	pendingAnswers atomic.Int32  // answers to the commands that the reader has posted and that are not written yet
 	acceptedAt     time.Time     // earliest time at which the connection may have arrived
-	// The client has not accepted all bytes written to it. While the connection is to end, this stays set.
+	// The client has not accepted all bytes written to it. While the process is to end, this stays set.
 	slow      atomic.Bool
 	readState atomicReadState // how far the connection is still read; beyond readNormal it ends between requests
 }
@@ -367,7 +367,7 @@
 	c.writingAnswers, c.writingBytes = c.backlogAnswers, len(rest)
 	c.backlog, c.backlogAnswers = nil, 0
 	c.slow.Store(true)
-	if c.readState.load() > readNormal {
+	if c.readState.load() >= readRefuseExcess {
 		l.wakeReader(c) // from now on the reader only reads the rest of a command that has begun
 	}
 	c.writeRest(l, rest, writeTimeouts{stall: clientWriteTimeout}, func(err error) event { return clientWriteDone{c, err} })
@@ -382,8 +382,8 @@
 func (e clientWriteDone) apply(l *loop) {
 	l.ifOpen(&e.client.connection, func() {
 		e.client.writerActive = false
-		// a client that is slow while its connection ends stays marked slow, so no new commands are read from it
-		e.client.slow.Store(e.client.readState.load() > readNormal)
+		// a client that is slow while the process ends stays marked slow, so no new commands are read from it
+		e.client.slow.Store(e.client.readState.load() >= readRefuseExcess)
 		if e.err != nil {
 			l.closeClient(e.client, writeFailureReason(e.err))
 			return
--- a/internal/gateway/reader.go
+++ b/internal/gateway/reader.go
@@ -114,9 +114,9 @@
 }
 
 // mayStop reports whether a connection that is to end may stop reading now. All complete commands have been posted by
-// then. It may stop when no answer is pending and no input waits, or when the client is slow to accept its answers:
-// further commands of such a client could not be answered in time, and the client resends elsewhere what is left
-// unread.
+// then. It may stop when no answer is pending and no input waits, or when the process is to end and the client is slow to
+// accept its answers: further commands of such a client could not be answered in time, and the client resends elsewhere
+// what is left unread.
 func (r *clientReader) mayStop() bool {
 	switch state := r.client.readState.load(); {
 	case state == readNormal:
@@ -125,10 +125,12 @@
 		return true
 	case len(r.buf) > 0:
 		return false
+	case state >= readRefuseExcess && r.client.slow.Load():
+		return true
 	case state == readToEnd:
-		return r.client.slow.Load() || r.client.conn.Quiet()
+		return r.client.conn.Quiet()
 	}
-	return r.client.slow.Load() || r.client.pendingAnswers.Load() == 0 && r.client.conn.Quiet()
+	return r.client.pendingAnswers.Load() == 0 && r.client.conn.Quiet()
 }
 
 // awaitAnswers watches a connection that is no longer read, until its pending answers are written. If the client
@@ -179,13 +181,13 @@
 }
 
 // readBudget returns how many bytes may be read now. While the limit of pending answers is reached, it allows reading
-// ahead up to the size of one command, so that the client's disconnect is noticed. On a connection that is to end,
-// everything read has to be answered before the platform kills the gateway. There only the rest of a command that has
-// begun is read if the client is slow, or if commands have to wait until fewer answers are pending.
+// ahead up to the size of one command, so that the client's disconnect is noticed. On a connection that is to end, only
+// the rest of a command that has begun is read then; if the process is to end, also if the client is slow, as everything
+// that is read has to be answered before the platform kills the gateway.
 func (r *clientReader) readBudget() int {
-	atLimit := r.atPendingLimit()
+	state, atLimit := r.client.readState.load(), r.atPendingLimit()
 	switch {
-	case r.client.readState.load() >= readUntilIdle && (atLimit || r.client.slow.Load()):
+	case state >= readUntilIdle && atLimit, state >= readRefuseExcess && r.client.slow.Load():
 		return missingBytes(r.buf)
 	case atLimit:
 		return max(0, maxCommandBytes-len(r.buf))
--- a/internal/gateway/readstate.go
+++ b/internal/gateway/readstate.go
@@ -6,11 +6,13 @@
 type readState int32
 
 const (
-	readNormal       readState = iota // as long as the client stays connected
-	readUntilIdle                     // until no answer is pending and no input waits, or the client reads slowly
-	readRefuseExcess                  // likewise; the process is to end, so requests beyond the limit of pending answers are refused
-	readToEnd                         // until no input waits; all requests are refused
-	readStopped                       // nothing, even if a command is partial; complete commands are processed
+	readNormal    readState = iota // as long as the client stays connected
+	readUntilIdle                  // until no answer is pending and no input waits
+	// The process is to end: likewise, or until the client reads slowly; requests beyond the limit of pending answers are
+	// refused.
+	readRefuseExcess
+	readToEnd   // until no input waits; all requests are refused
+	readStopped // nothing, even if a command is partial; complete commands are processed
 )
 
 // atomicReadState shares a connection's readState between the loop, which sets it, and the connection's reader.
--- a/internal/gateway/slow_client_test.go
+++ b/internal/gateway/slow_client_test.go
@@ -187,3 +187,35 @@
 		t.Errorf("%d answers, want %d", got, requests)
 	}
 }
+
+// Guards against losing commands of a slow client when its connection is drained to make room for another: they are read
+// and answered, as nothing limits the time for that.
+func TestDrainedSlowClientGetsAllAnswers(t *testing.T) {
+	const echoes, size = 20, 64 << 10
+	l := newManualLoop(t, nil)
+	near, far := smallBufferPair(t)
+	c := newClientOn(t, near)
+	c.readState.advance(readUntilIdle)
+	echo := fmt.Sprintf("*2\r\n$4\r\nPING\r\n$%d\r\n%s\r\n", size, strings.Repeat("x", size))
+	go io.WriteString(far, strings.Repeat(echo, echoes))
+	for c.conn.Quiet() { // the kernel holds a command before the reader starts
+		time.Sleep(time.Millisecond)
+	}
+	joinClient(l, c)
+	runUntil(t, l, func() bool { return c.slow.Load() && c.writerActive })
+	if _, err := io.WriteString(far, "*1\r\n$4\r\nPING\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	answers := make(chan int, 1)
+	go func() {
+		b, err := io.ReadAll(far)
+		if err != nil {
+			t.Error(err)
+		}
+		answers <- countAnswers(b)
+	}()
+	runUntil(t, l, func() bool { return c.closed() })
+	if got := <-answers; got != echoes+1 {
+		t.Errorf("the client got %d answers, want %d", got, echoes+1)
+	}
+}
