At a stop, read on from a client whose buffers one write filled

Cause: a client counted as slow as soon as one write was not accepted at once, for the rest of the process, and a slow client's connection is not read on when the process is to end.

Change: while a write waits, reading pauses; a client is slow if it has not accepted a write after two checks 50 ms apart (two, so that a delay of the gateway itself does not count). Then everything is as before.

--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -12,7 +12,9 @@
 )
 
 const (
-	maxPendingAnswers  = 64              // pending answers of one client; at this many, its further commands wait
+	maxPendingAnswers  = 64 // pending answers of one client; at this many, its further commands wait
+	slowCheckInterval  = 50 * time.Millisecond
+	slowChecks         = 2               // a client that has not accepted a write after so many checks is slow
 	clientWriteTimeout = 2 * time.Second // a client that accepts no bytes for this long is disconnected
 	// A client that sends a malformed command must get a protocol error within 3 s. Requests before that command must
 	// get their answers first. Those still open after this time are failed, so that the error can follow them.
@@ -44,7 +46,9 @@
 	lastActive     time.Duration // when the client connected or its latest answer was queued
 	pendingAnswers atomic.Int32  // answers to the commands that the reader has posted and that are not written yet
 	acceptedAt     time.Time     // earliest time at which the connection may have arrived
-	// The client has not accepted all bytes written to it. While the process is to end, this stays set.
+	writes         int           // number of writes in the background that have ended
+	writeBlocked   atomic.Bool   // the client has not accepted all bytes written to it
+	// The client has not accepted a write after slowChecks checks. While the process is to end, this stays set.
 	slow      atomic.Bool
 	readState atomicReadState // how far the connection is still read; beyond readNormal it ends between requests
 }
@@ -366,11 +370,33 @@
 	rest := c.backlog[n:]
 	c.writingAnswers, c.writingBytes = c.backlogAnswers, len(rest)
 	c.backlog, c.backlogAnswers = nil, 0
+	c.writeBlocked.Store(true)
+	l.checkSlow(c, slowChecks)
+	c.writeRest(l, rest, writeTimeouts{stall: clientWriteTimeout}, func(err error) event { return clientWriteDone{c, err} })
+}
+
+// checkSlow marks a client as slow if it has not accepted the present write after the given number of further checks,
+// which are slowCheckInterval apart. With one check alone, a delay of this gateway would count against the client.
+func (l *loop) checkSlow(c *client, checks int) {
+	if checks == 0 {
+		l.markSlow(c)
+		return
+	}
+	write := c.writes
+	l.scheduleWhileOpen(&c.connection, slowCheckInterval, func() {
+		if c.writerActive && c.writes == write {
+			l.checkSlow(c, checks-1)
+		}
+	})
+}
+
+// markSlow marks a client as slow. If the process is to end, its reader then stops after the rest of a command that has
+// begun.
+func (l *loop) markSlow(c *client) {
 	c.slow.Store(true)
 	if c.readState.load() >= readRefuseExcess {
-		l.wakeReader(c) // from now on the reader only reads the rest of a command that has begun
+		l.wakeReader(c)
 	}
-	c.writeRest(l, rest, writeTimeouts{stall: clientWriteTimeout}, func(err error) event { return clientWriteDone{c, err} })
 }
 
 // clientWriteDone is the event that a write in the background to a client has ended.
@@ -382,8 +408,11 @@
 func (e clientWriteDone) apply(l *loop) {
 	l.ifOpen(&e.client.connection, func() {
 		e.client.writerActive = false
+		e.client.writes++
+		e.client.writeBlocked.Store(false)
 		// a client that is slow while the process ends stays marked slow, so no new commands are read from it
-		e.client.slow.Store(e.client.readState.load() >= readRefuseExcess)
+		ending := e.client.readState.load() >= readRefuseExcess
+		e.client.slow.Store(e.client.slow.Load() && ending)
 		if e.err != nil {
 			l.closeClient(e.client, writeFailureReason(e.err))
 			return
@@ -393,6 +422,9 @@
 		l.answersWritten(e.client, answers, bytes)
 		l.writeBacklog(e.client)
 		l.closeWriteIfDone(e.client)
+		if ending && !e.client.closed() {
+			l.wakeReader(e.client) // reading was paused
+		}
 	})
 }
 
--- a/internal/gateway/reader.go
+++ b/internal/gateway/reader.go
@@ -169,7 +169,8 @@
 // before them are ready.
 func (r *clientReader) refusesExcess() bool {
 	state := r.client.readState.load()
-	return state >= readToEnd || state == readRefuseExcess && !r.client.slow.Load() && r.memory.heldAnswers.hasRoom(0)
+	return state >= readToEnd || state == readRefuseExcess && !r.client.slow.Load() && !r.client.writeBlocked.Load() &&
+		r.memory.heldAnswers.hasRoom(0)
 }
 
 // refusalReason returns why a request behind queued other commands of its batch is refused, or "".
@@ -182,12 +183,13 @@
 
 // readBudget returns how many bytes may be read now. While the limit of pending answers is reached, it allows reading
 // ahead up to the size of one command, so that the client's disconnect is noticed. On a connection that is to end, only
-// the rest of a command that has begun is read then; if the process is to end, also if the client is slow, as everything
-// that is read has to be answered before the platform kills the gateway.
+// the rest of a command that has begun is read then; if the process is to end, also while the client has not accepted
+// all answers, as everything that is read has to be answered before the platform kills the gateway.
 func (r *clientReader) readBudget() int {
 	state, atLimit := r.client.readState.load(), r.atPendingLimit()
+	notAccepting := r.client.slow.Load() || r.client.writeBlocked.Load()
 	switch {
-	case state >= readUntilIdle && atLimit, state >= readRefuseExcess && r.client.slow.Load():
+	case state >= readUntilIdle && atLimit, state >= readRefuseExcess && notAccepting:
 		return missingBytes(r.buf)
 	case atLimit:
 		return max(0, maxCommandBytes-len(r.buf))
--- a/internal/gateway/slow_client_test.go
+++ b/internal/gateway/slow_client_test.go
@@ -219,3 +219,34 @@
 		t.Errorf("the client got %d answers, want %d", got, echoes+1)
 	}
 }
+
+// Guards against losing commands of a client that reads all answers at once, because one write filled the connection's
+// buffers while the process was to end: only a client that does not accept a write for a while counts as slow.
+func TestStopReadsOnFromClientWithFullBuffers(t *testing.T) {
+	const echoes, size = 40, 64 << 10
+	l := newManualLoop(t, nil)
+	near, far := tcpPair(t)
+	if err := near.(*net.TCPConn).SetWriteBuffer(size); err != nil {
+		t.Fatal(err)
+	}
+	c := newClientOn(t, near)
+	c.readState.advance(readRefuseExcess)
+	answers := make(chan int, 1)
+	go func() {
+		b, err := io.ReadAll(far)
+		if err != nil {
+			t.Error(err)
+		}
+		answers <- countAnswers(b)
+	}()
+	echo := fmt.Sprintf("*2\r\n$4\r\nPING\r\n$%d\r\n%s\r\n", size, strings.Repeat("x", size))
+	sendInBackground(far, strings.Repeat(echo, echoes))
+	for c.conn.Quiet() { // the kernel holds a command before the reader starts
+		time.Sleep(time.Millisecond)
+	}
+	joinClient(l, c)
+	runUntil(t, l, func() bool { return c.closed() })
+	if got := <-answers; got != echoes {
+		t.Errorf("the client got %d answers, want %d", got, echoes)
+	}
+}
