--- a/internal/gateway/inbox.go
+++ b/internal/gateway/inbox.go
@@ -16,8 +16,9 @@
 	ready   chan struct{}
 }
 
-// maxInboxEvents is the largest number of queued events. It is far more than arrives in one iteration of the loop, and
-// takes some MB if all events are large.
+// maxInboxEvents is the largest number of queued events. It is far more than arrives in one iteration of the loop. What
+// events hold in bytes is bounded by memoryBudgets, from which commands and long answers are reserved before they are
+// posted.
 const maxInboxEvents = 1024
 
 func newInbox() *inbox {
