Count a client as slow if it stays behind, however short each write to it is

Callers: a client that reads slowly and steadily could be read on during a stop, and not get its answers before SIGKILL.

Cause: the checks looked at one write. A client that is always behind gets one write after the other, each of which may end within 100 ms.

Change: what counts is whether the client accepted everything in between. Reading stays paused for as long as it is behind.

--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -14,7 +14,7 @@
 const (
 	maxPendingAnswers  = 64 // pending answers of one client; at this many, its further commands wait
 	slowCheckInterval  = 50 * time.Millisecond
-	slowChecks         = 2               // a client that has not accepted a write after so many checks is slow
+	slowChecks         = 2               // a client that is behind at so many checks in a row is slow
 	clientWriteTimeout = 2 * time.Second // a client that accepts no bytes for this long is disconnected
 	// A client that sends a malformed command must get a protocol error within 3 s. Requests before that command must
 	// get their answers first. Those still open after this time are failed, so that the error can follow them.
@@ -46,9 +46,9 @@
 	lastActive     time.Duration // when the client connected or its latest answer was queued
 	pendingAnswers atomic.Int32  // answers to the commands that the reader has posted and that are not written yet
 	acceptedAt     time.Time     // earliest time at which the connection may have arrived
-	writes         int           // number of writes in the background that have ended
-	writeBlocked   atomic.Bool   // the client has not accepted all bytes written to it
-	// The client has not accepted a write after slowChecks checks. While the process is to end, this stays set.
+	caughtUp       int           // how often it accepted everything after it was behind
+	writeBlocked   atomic.Bool   // it is behind: it has not accepted all bytes written to it
+	// The client was behind at slowChecks checks in a row. While the process is to end, this stays set.
 	slow      atomic.Bool
 	readState atomicReadState // how far the connection is still read; beyond readNormal it ends between requests
 }
@@ -370,26 +370,43 @@
 	rest := c.backlog[n:]
 	c.writingAnswers, c.writingBytes = c.backlogAnswers, len(rest)
 	c.backlog, c.backlogAnswers = nil, 0
-	c.writeBlocked.Store(true)
-	l.checkSlow(c, slowChecks)
+	if !c.writeBlocked.Swap(true) {
+		l.checkSlow(c, slowChecks)
+	}
 	c.writeRest(l, rest, writeTimeouts{stall: clientWriteTimeout}, func(err error) event { return clientWriteDone{c, err} })
 }
 
-// checkSlow marks a client as slow if it has not accepted the present write after the given number of further checks,
-// which are slowCheckInterval apart. With one check alone, a delay of this gateway would count against the client.
+// checkSlow marks a client as slow if it is behind with its answers at the given number of further checks, which are
+// slowCheckInterval apart, without having accepted everything in between. With one check alone, a delay of this
+// gateway would count against the client.
 func (l *loop) checkSlow(c *client, checks int) {
 	if checks == 0 {
 		l.markSlow(c)
 		return
 	}
-	write := c.writes
+	caughtUp := c.caughtUp
 	l.scheduleWhileOpen(&c.connection, slowCheckInterval, func() {
-		if c.writerActive && c.writes == write {
+		if c.writeBlocked.Load() && c.caughtUp == caughtUp {
 			l.checkSlow(c, checks-1)
 		}
 	})
 }
 
+// clearIfCaughtUp notes that a client has accepted everything after it was behind. A client that is slow while the process
+// ends stays marked slow, so no new commands are read from it. Otherwise its reader, which has paused, goes on.
+func (l *loop) clearIfCaughtUp(c *client) {
+	if c.writerActive || c.closed() {
+		return
+	}
+	c.caughtUp++
+	c.writeBlocked.Store(false)
+	if c.readState.load() < readRefuseExcess {
+		c.slow.Store(false)
+		return
+	}
+	l.wakeReader(c)
+}
+
 // markSlow marks a client as slow. If the process is to end, its reader then stops after the rest of a command that has
 // begun.
 func (l *loop) markSlow(c *client) {
@@ -408,11 +425,6 @@
 func (e clientWriteDone) apply(l *loop) {
 	l.ifOpen(&e.client.connection, func() {
 		e.client.writerActive = false
-		e.client.writes++
-		e.client.writeBlocked.Store(false)
-		// a client that is slow while the process ends stays marked slow, so no new commands are read from it
-		ending := e.client.readState.load() >= readRefuseExcess
-		e.client.slow.Store(e.client.slow.Load() && ending)
 		if e.err != nil {
 			l.closeClient(e.client, writeFailureReason(e.err))
 			return
@@ -421,10 +433,8 @@
 		e.client.writingAnswers, e.client.writingBytes = 0, 0
 		l.answersWritten(e.client, answers, bytes)
 		l.writeBacklog(e.client)
+		l.clearIfCaughtUp(e.client)
 		l.closeWriteIfDone(e.client)
-		if ending && !e.client.closed() {
-			l.wakeReader(e.client) // reading was paused
-		}
 	})
 }
 
--- a/internal/gateway/slow_client_test.go
+++ b/internal/gateway/slow_client_test.go
@@ -250,3 +250,29 @@
 		t.Errorf("the client got %d answers, want %d", got, echoes)
 	}
 }
+
+// Guards against taking a client for a fast one because each write to it ends soon: what counts is whether it ever accepts
+// everything.
+func TestClientThatStaysBehindCountsAsSlow(t *testing.T) {
+	const size, perRead, pause = 64 << 10, 16 << 10, 5 * time.Millisecond
+	l := newManualLoop(t, nil)
+	near, far := smallBufferPair(t)
+	c := newClientOn(t, near)
+	l.clients[c] = struct{}{}
+	go func() {
+		buf := make([]byte, perRead)
+		for {
+			if _, err := io.ReadFull(far, buf); err != nil {
+				return
+			}
+			time.Sleep(pause)
+		}
+	}()
+	answer := fmt.Appendf(nil, "$%d\r\n%s\r\n", size, strings.Repeat("x", size))
+	runUntil(t, l, func() bool {
+		if len(c.backlog) == 0 { // the next answer is there before the client has accepted this one
+			commandBatch{client: c, commands: []receivedCommand{{reply: answer}}}.apply(l)
+		}
+		return c.slow.Load()
+	})
+}
