--- a/internal/gateway/readbuffer.go
+++ b/internal/gateway/readbuffer.go
@@ -9,8 +9,9 @@
 )
 
 // growBuffer enlarges the read buffer. It returns false if there is no memory for that now: the input then stays in the
-// kernel until other connections have their commands complete, which takes them at most the command timeout. Reading
-// ahead gets only half of the memory, because what is read ahead stays for as long as answers are pending.
+// kernel until other connections have their commands complete. That takes them at most the command timeout, or as long as
+// they are at the limit of pending answers. Reading ahead gets only half of the memory, because what is read ahead stays for
+// as long as answers are pending.
 func (r *clientReader) growBuffer() bool {
 	size, reserve := min(2*cap(r.buf), largeReadBuffer), largeReadBuffer
 	switch {
--- a/internal/gateway/simulation_test.go
+++ b/internal/gateway/simulation_test.go
@@ -798,7 +798,7 @@
 	for _, r := range l.requests {
 		if !r.done {
 			open++
-			held += r.reserved
+			held += r.cmd.size() + commandOverhead
 		}
 	}
 	for c := range l.pool.open {
