--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -42,6 +42,7 @@
 }
 
 var cases = map[string]func(*testCase) (verdict, error){
+	"stop-slow-lines":  stopSlowLines,
 	"stop-mid-request": stopMidRequest,
 }
 
