--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -43,6 +43,7 @@
 
 var cases = map[string]func(*testCase) (verdict, error){
 	"stop-slow-lines":  stopSlowLines,
+	"send-and-leave":   sendAndLeave,
 	"stop-mid-request": stopMidRequest,
 }
 
