--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -44,6 +44,7 @@
 var cases = map[string]func(*testCase) (verdict, error){
 	"stop-slow-lines":  stopSlowLines,
 	"send-and-leave":   sendAndLeave,
+	"slow-discovery":   slowDiscovery,
 	"stop-mid-request": stopMidRequest,
 }
 
