--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -42,6 +42,7 @@
 }
 
 var cases = map[string]func(*testCase) (verdict, error){
+	"ceiling-spelling": ceilingSpelling,
 	"stop-slow-lines":  stopSlowLines,
 	"send-and-leave":   sendAndLeave,
 	"slow-discovery":   slowDiscovery,
