--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,4 +4,4 @@
 set -eu
 cd "$(dirname "$0")/harness-2"
 mkdir -p bin
-go build -buildvcs=false -o bin/reviewharness .
+CGO_ENABLED=0 GOWORK=off GOPROXY=off GOTOOLCHAIN=local go build -buildvcs=false -o bin/reviewharness .
