Move the discovery watcher out of the file of server lists

Cause: discovery.go holds two jobs, the form of a server list and the calls that fetch it, and the calls are about to change.

Change: the watcher, its calls and their errors are in discoverywatcher.go.

--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -1,32 +1,18 @@
 package gateway
 
 import (
-	"cmp"
-	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
-	"log/slog"
-	"math/rand/v2"
-	"net"
-	"net/http"
 	"net/netip"
 	"time"
 
 	"winghatch/decide"
-	"winghatch/internal/telemetry"
-	"winghatch/internal/watch"
 )
 
-const (
-	discoveryConnectTimeout = 500 * time.Millisecond // timeout for connecting to discovery
-	maxServerListBytes      = 8 << 20                // size limit of a server list, in bytes: about 70,000 servers
-	maxResponseHeaderBytes  = 64 << 10               // size limit of a response's headers, in bytes
-)
-
-// errDiscoveryBusy means that discovery is up but rejected a call because it has too many calls.
-var errDiscoveryBusy = errors.New("discovery rejected the call as overloaded")
+// maxServerListBytes is the size limit of a server list, in bytes: about 70,000 servers.
+const maxServerListBytes = 8 << 20
 
 // errListTooLong means that a server list is longer than maxServerListBytes.
 var errListTooLong = errors.New("server list is too long")
@@ -85,179 +71,6 @@
 	return nil
 }
 
-// listReceived passes a server list to the loop.
-type listReceived struct {
-	kind decide.FleetKind
-	list serverList
-}
-
-func (n listReceived) apply(l *loop) { l.updateServers(n.kind, n.list) }
-
-// discoveryWatcher keeps the server list up to date. It makes the calls to discovery that a pacer of package watch
-// schedules, and posts the lists that they return.
-type discoveryWatcher struct {
-	client *http.Client
-	url    string
-	// For each of the next three, 0 selects the default of package watch.
-	watchWait    time.Duration // how long a watch call waits for changes
-	watchGrace   time.Duration // timeout of a watch call, counted from the end of its wait
-	checkTimeout time.Duration // initial timeout of a call that does not wait
-	usesAgent    bool          // the calls go to an agent, to which discovery pushes the lists
-	hasList      bool          // the gateway already has the list of this version
-	version      uint64
-	pause        func(context.Context, time.Duration)
-	post         func(event)
-	warmup       discoveryWarmup // notified when discovery answers
-	metrics      *telemetry.Metrics
-	log          *slog.Logger
-}
-
-func newDiscoveryWatcher(addr netip.AddrPort, post func(event), log *slog.Logger) *discoveryWatcher {
-	transport := &http.Transport{DialContext: (&net.Dialer{Timeout: discoveryConnectTimeout}).DialContext,
-		MaxIdleConns: 1, DisableCompression: true, MaxResponseHeaderBytes: maxResponseHeaderBytes}
-	return &discoveryWatcher{client: &http.Client{Transport: transport, CheckRedirect: refuseRedirect},
-		url: "http://" + addr.String() + "/v1/servers", pause: sleep, post: post, warmup: newDiscoveryWarmup(),
-		metrics: telemetry.New(), log: log}
-}
-
-// refuseRedirect refuses redirects: server lists come only from the configured address.
-func refuseRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-
-// followDiscovery watches discovery at the configured address, and after each move at the new address. A move cancels
-// the call to the old address. The watcher of the new address starts after the old one has ended, with the full list:
-// the versions of the two addresses are unrelated, so their changes must never be mixed. Until the new address answers,
-// the last list stays in use.
-//
-// At startup the watch continues from the list in the configuration, if that is a full list. Otherwise a fleet that is
-// restarted all at once would request every list twice: once in full and once to watch it.
-func followDiscovery(ctx context.Context, cfg Config, addresses <-chan netip.AddrPort, post func(event),
-	metrics *telemetry.Metrics, warmup discoveryWarmup, log *slog.Logger) {
-	addr, known := cfg.Discovery, cfg.Known
-	for ctx.Err() == nil {
-		watchCtx, cancel := context.WithCancel(ctx)
-		w, ended := newDiscoveryWatcher(addr, post, log), make(chan struct{})
-		w.usesAgent, w.warmup, w.metrics = !cfg.Settings.Decide.Subscribe, warmup, metrics
-		w.hasList, w.version = known.Full && len(known.Servers) > 0, known.Version
-		known = serverList{}
-		go func() {
-			defer close(ended)
-			w.run(watchCtx)
-		}()
-		select {
-		case addr = <-addresses:
-		case <-ctx.Done():
-		}
-		cancel()
-		<-ended
-	}
-}
-
-// run makes one call after another until the context ends.
-func (w *discoveryWatcher) run(ctx context.Context) {
-	defer w.client.CloseIdleConnections()
-	started, failing, tooLong := time.Now(), false, false
-	pacer := watch.New(watch.Config{Agent: w.usesAgent, HasList: w.hasList, Version: w.version, WatchWait: w.watchWait,
-		WatchGrace: w.watchGrace, CheckTimeout: w.checkTimeout},
-		rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
-	for ctx.Err() == nil {
-		call := pacer.Next(time.Since(started))
-		url := w.url
-		if call.Kind != watch.FullList {
-			url = fmt.Sprintf("%s?after=%d&wait_ms=%d", w.url, call.After, call.Wait.Milliseconds())
-		}
-		list, err := w.fetch(ctx, url, call.Timeout)
-		w.metrics.DiscoveryCalls.Inc(callOutcome(err).String())
-		step := pacer.Done(time.Since(started), watch.Result{Outcome: callOutcome(err), Version: list.Version,
-			Full: list.Full, Entries: len(list.Servers)})
-		err = cmp.Or(err, step.Err)
-		switch {
-		case ctx.Err() != nil:
-		case errors.Is(err, errListTooLong) && !tooLong: // more calls won't fix this
-			w.log.Error("server list rejected, keeping the last one", "err", err)
-		case err != nil && !failing:
-			w.log.Warn("call to discovery failed, retrying", "err", err)
-		}
-		failing, tooLong = err != nil, errors.Is(err, errListTooLong) || tooLong && err != nil
-		if step.HasChanges {
-			kind := decide.FleetDelta
-			if list.Full {
-				kind = decide.FleetFull
-			}
-			w.post(listReceived{kind, list})
-		}
-		if step.UpToDate {
-			signal(w.warmup.answered)
-		}
-		if step.Pause > 0 {
-			w.pause(ctx, step.Pause)
-		}
-	}
-}
-
-// callOutcome classifies the error that fetch returned for a call.
-func callOutcome(err error) watch.Outcome {
-	var netErr net.Error
-	switch {
-	case err == nil:
-		return watch.Answered
-	case errors.Is(err, errDiscoveryBusy):
-		return watch.Refused
-	case errors.As(err, &netErr) && netErr.Timeout(): // context.DeadlineExceeded is a net.Error too
-		return watch.TimedOut
-	}
-	return watch.Failed
-}
-
-// fetch makes one call to discovery. The timeout covers the response's body too, except for an agent's. An agent that
-// has begun to answer is not silent, and gets the time that a long list takes on a busy machine. fetch fails with
-// errDiscoveryBusy if discovery rejects the call, and with errListTooLong if the list is longer than
-// maxServerListBytes.
-//
-// A truncated response is an error. A response with a length or with chunks shows the truncation by itself. Where the
-// end of the connection ends the response, a reset is not a regular end, and an object without its closing brace is not
-// valid JSON. A list that is cut off after that brace is complete. Anything but white space after the brace is an
-// error.
-func (w *discoveryWatcher) fetch(ctx context.Context, url string, timeout time.Duration) (serverList, error) {
-	callCtx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	timer := time.AfterFunc(timeout, func() { cancel(context.DeadlineExceeded) })
-	defer timer.Stop()
-	req, err := http.NewRequestWithContext(callCtx, http.MethodGet, url, nil)
-	if err != nil {
-		return serverList{}, fmt.Errorf("creating the request: %w", err)
-	}
-	resp, err := w.client.Do(req)
-	if err != nil {
-		return serverList{}, fmt.Errorf("calling discovery: %w", callError(callCtx, err))
-	}
-	defer resp.Body.Close()
-	switch resp.StatusCode {
-	case http.StatusOK:
-		signal(w.warmup.answering)
-		if w.usesAgent {
-			timer.Reset(watch.AnswerTimeout)
-		}
-	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
-		io.CopyN(io.Discard, resp.Body, maxResponseHeaderBytes) // lets the connection be reused; on error it is not
-		return serverList{}, fmt.Errorf("%w: %s", errDiscoveryBusy, resp.Status)
-	default:
-		return serverList{}, fmt.Errorf("discovery answered %s", resp.Status)
-	}
-	list, err := readList(resp.Body, resp.ContentLength)
-	if err != nil {
-		return serverList{}, callError(callCtx, err)
-	}
-	return list, nil
-}
-
-// callError returns why a call failed with err. If its timeout has passed, the result wraps context.DeadlineExceeded.
-func callError(callCtx context.Context, err error) error {
-	if cause := context.Cause(callCtx); errors.Is(cause, context.DeadlineExceeded) {
-		return fmt.Errorf("%w: %w", cause, err)
-	}
-	return err
-}
-
 // readList reads a list of length bytes, or to the end of body if length is negative.
 func readList(body io.Reader, length int64) (serverList, error) {
 	if length > maxServerListBytes {
@@ -278,16 +91,6 @@
 	return list, nil
 }
 
-// sleep waits for d, or until the context ends.
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // decideServer converts the entry to the decision engine's type. Start times count from the Unix epoch, as the loop's
 // clock does.
 func (e *serverEntry) decideServer() decide.Server {
