Use the late answer of a discovery call that timed out, in place of none

Cause: a call that timed out was given up, and the next one had the same timeout. So no call ever ended with an answer, and the gateway never came to a watch (Pacer.onTimeout, discoveryWatcher.fetch).

Change: a timeout starts the next call, at the times as before, and no longer ends the waiting: up to four calls that timed out stay open, 1.5 s apart or more, and a late answer is used and leads to a watch at once. A longer timeout was ruled out: it would hide the return of a silent agent for longer than the grace of a drain. Answers may come in another order than the calls: one no newer than the list held changes nothing.

The model of a fleet leaves calls open as gateways do; its limits hold unchanged.

Changed tests: calls of fetch have one argument more, and the counter of TestWatchRecoversFromSilentDiscovery is atomic, as a silent call now stays open beside the next one.

--- a/internal/gateway/discovery_peers_test.go
+++ b/internal/gateway/discovery_peers_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -24,11 +25,10 @@
 // wait.
 func TestWatchRecoversFromSilentDiscovery(t *testing.T) {
 	calls := make(chan string, 16)
-	n := 0
+	var n atomic.Int32 // calls made one after another; those that timed out stay open beside the next ones
 	web := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		calls <- req.URL.RawQuery
-		n++ // calls come one after the other
-		switch n {
+		switch n.Add(1) {
 		case 1:
 			fmt.Fprint(w, `{"version":41,"full":true,"servers":[{"id":"s","addr":"127.0.0.1:1","state":"up","cell":3,"started_ms":7}]}`)
 		case 2, 5:
--- a/internal/gateway/discoverywatcher.go
+++ b/internal/gateway/discoverywatcher.go
@@ -1,13 +1,11 @@
 package gateway
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"io"
 	"log/slog"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -93,48 +91,6 @@
 	}
 }
 
-// run makes one call after another until the context ends.
-func (w *discoveryWatcher) run(ctx context.Context) {
-	defer w.client.CloseIdleConnections()
-	started, failing, tooLong := time.Now(), false, false
-	pacer := watch.New(watch.Config{Agent: w.usesAgent, HasList: w.hasList, Version: w.version, WatchWait: w.watchWait,
-		WatchGrace: w.watchGrace, CheckTimeout: w.checkTimeout},
-		rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
-	for ctx.Err() == nil {
-		call := pacer.Next(time.Since(started))
-		url := w.url
-		if call.Kind != watch.FullList {
-			url = fmt.Sprintf("%s?after=%d&wait_ms=%d", w.url, call.After, call.Wait.Milliseconds())
-		}
-		list, err := w.fetch(ctx, url, call.Timeout)
-		w.metrics.DiscoveryCalls.Inc(callOutcome(err).String())
-		step := pacer.Done(time.Since(started), watch.Result{Outcome: callOutcome(err), Version: list.Version,
-			Full: list.Full, Entries: len(list.Servers)})
-		err = cmp.Or(err, step.Err)
-		switch {
-		case ctx.Err() != nil:
-		case errors.Is(err, errListTooLong) && !tooLong: // more calls won't fix this
-			w.log.Error("server list rejected, keeping the last one", "err", err)
-		case err != nil && !failing:
-			w.log.Warn("call to discovery failed, retrying", "err", err)
-		}
-		failing, tooLong = err != nil, errors.Is(err, errListTooLong) || tooLong && err != nil
-		if step.HasChanges {
-			kind := decide.FleetDelta
-			if list.Full {
-				kind = decide.FleetFull
-			}
-			w.post(listReceived{kind, list})
-		}
-		if step.UpToDate {
-			signal(w.warmup.answered)
-		}
-		if step.Pause > 0 {
-			w.pause(ctx, step.Pause)
-		}
-	}
-}
-
 // callOutcome classifies the error that fetch returned for a call.
 func callOutcome(err error) watch.Outcome {
 	var netErr net.Error
@@ -150,15 +106,15 @@
 }
 
 // fetch makes one call to discovery. The timeout covers the response's body too, except for an agent's. An agent that
-// has begun to answer is not silent, and gets the time that a long list takes on a busy machine. fetch fails with
-// errDiscoveryBusy if discovery rejects the call, and with errListTooLong if the list is longer than
-// maxServerListBytes.
+// has begun to answer is not silent, and gets the time that a long list takes on a busy machine. begun, which may be
+// nil, is signalled when discovery begins to answer. fetch fails with errDiscoveryBusy if discovery rejects the call, and
+// with errListTooLong if the list is longer than maxServerListBytes.
 //
 // A truncated response is an error. A response with a length or with chunks shows the truncation by itself. Where the
 // end of the connection ends the response, a reset is not a regular end, and an object without its closing brace is not
 // valid JSON. A list that is cut off after that brace is complete. Anything but white space after the brace is an
 // error.
-func (w *discoveryWatcher) fetch(ctx context.Context, url string, timeout time.Duration) (serverList, error) {
+func (w *discoveryWatcher) fetch(ctx context.Context, url string, timeout time.Duration, begun chan struct{}) (serverList, error) {
 	callCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	timer := time.AfterFunc(timeout, func() { cancel(context.DeadlineExceeded) })
@@ -174,9 +130,10 @@
 	defer resp.Body.Close()
 	switch resp.StatusCode {
 	case http.StatusOK:
+		signal(begun)
 		signal(w.warmup.answering)
 		if w.usesAgent {
-			timer.Reset(watch.AnswerTimeout)
+			timer.Reset(watch.LateAnswerTimeout)
 		}
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
 		io.CopyN(io.Discard, resp.Body, maxResponseHeaderBytes) // lets the connection be reused; on error it is not
--- a/internal/gateway/fuzz_test.go
+++ b/internal/gateway/fuzz_test.go
@@ -311,7 +311,7 @@
 		}
 		w := discoveryWatcher{client: &http.Client{Transport: cannedResponse{status, body}},
 			log: slog.New(slog.DiscardHandler)}
-		list, err := w.fetch(context.Background(), "http://127.0.0.1:1/v1/servers", time.Minute)
+		list, err := w.fetch(context.Background(), "http://127.0.0.1:1/v1/servers", time.Minute, nil)
 		if errors.Is(err, errDiscoveryBusy) != (!cut && (status == 503 || status == 429)) {
 			t.Fatalf("%d, %q: %v", status, raw, err)
 		}
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -118,7 +118,8 @@
 	mu      sync.Mutex
 	list    serverList
 	changed chan struct{}
-	calls   chan string // query strings of the calls; when the channel is full, further ones are dropped
+	calls   chan string   // query strings of the calls; when the channel is full, further ones are dropped
+	delay   time.Duration // before each answer; set before the gateway starts
 }
 
 // newFakeDiscovery starts a discovery service with a list and returns its address.
@@ -153,10 +154,12 @@
 		list, changed := d.list, d.changed
 		d.mu.Unlock()
 		if err != nil || list.Version > after {
+			time.Sleep(d.delay)
 			json.NewEncoder(w).Encode(list)
 			return
 		}
 		if req.URL.Query().Get("wait_ms") == "0" {
+			time.Sleep(d.delay)
 			json.NewEncoder(w).Encode(serverList{Version: list.Version})
 			return
 		}
--- a/internal/gateway/list_test.go
+++ b/internal/gateway/list_test.go
@@ -89,7 +89,7 @@
 		"an unknown status":                {"HTTP/1.1 299 Odd\r\n\r\n" + list, false, false},
 	} {
 		w := watcherOfRawServer(t, tc.answer, tc.reset)
-		got, err := w.fetch(context.Background(), w.url, testTimeout)
+		got, err := w.fetch(context.Background(), w.url, testTimeout, nil)
 		if (err == nil) != tc.ok {
 			t.Errorf("%s: got %+v, %v", name, got, err)
 		}
@@ -108,7 +108,7 @@
 	web := httptest.NewServer(http.RedirectHandler(other.URL, http.StatusFound))
 	defer web.Close()
 	w := newDiscoveryWatcher(mustAddr(strings.TrimPrefix(web.URL, "http://")), nil, slog.New(slog.DiscardHandler))
-	if _, err := w.fetch(context.Background(), w.url, time.Minute); err == nil || !strings.Contains(err.Error(), "302") {
+	if _, err := w.fetch(context.Background(), w.url, time.Minute, nil); err == nil || !strings.Contains(err.Error(), "302") {
 		t.Errorf("got %v", err)
 	}
 }
@@ -138,7 +138,7 @@
 		}
 	}
 	w := watcherOfRawServer(t, "HTTP/1.0 200 OK\r\n\r\n"+list+padding[len(list):], false)
-	if _, err := w.fetch(context.Background(), w.url, testTimeout); err != nil {
+	if _, err := w.fetch(context.Background(), w.url, testTimeout, nil); err != nil {
 		t.Errorf("a list of exactly the maximum size: %v", err)
 	}
 }
@@ -185,7 +185,7 @@
 		}
 	}()
 	w := newDiscoveryWatcher(addr, func(event) {}, slog.New(slog.DiscardHandler))
-	if _, err := w.fetch(context.Background(), w.url, 20*time.Millisecond); !errors.Is(err, context.DeadlineExceeded) {
+	if _, err := w.fetch(context.Background(), w.url, 20*time.Millisecond, nil); !errors.Is(err, context.DeadlineExceeded) {
 		t.Errorf("got %v, want the call timed out", err)
 	}
 }
@@ -208,7 +208,7 @@
 	w := newDiscoveryWatcher(mustAddr(strings.TrimPrefix(web.URL, "http://")), func(event) {}, slog.New(slog.DiscardHandler))
 	defer w.client.CloseIdleConnections()
 	w.usesAgent = true
-	list, err := w.fetch(context.Background(), w.url, checkTimeout)
+	list, err := w.fetch(context.Background(), w.url, checkTimeout, nil)
 	if err != nil || list.Version != 2 || !list.Full {
 		t.Errorf("got %+v, %v", list, err)
 	}
--- a/internal/watch/fleet_test.go
+++ b/internal/watch/fleet_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"container/heap"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -108,12 +109,22 @@
 	delays           []time.Duration // of all changes that a gateway received
 }
 
-// gateway is a simulated gateway. It makes one call at a time, as its caller decides.
+// lateCaller is a caller that leaves some calls open after their timeout. Pacer is one.
+type lateCaller interface {
+	KeepOpen() bool
+	LateAnswer(call Call, r Result) Step
+}
+
+// gateway is a simulated gateway. It makes one call at a time, as its caller decides. If the caller is a lateCaller,
+// calls that timed out may stay open beside it.
 type gateway struct {
-	model    *model
-	caller   caller
-	version  uint64
-	openCall int // the call in progress; 0: none
+	model       *model
+	caller      caller
+	version     uint64
+	openCall    int          // number of the call in progress; 0: none
+	currentCall Call         // the call in progress
+	lateCalls   map[int]Call // calls that stay open, by number
+	nextCall    int          // number of the pause before the next call; a later number replaces it
 }
 
 // schedule adds an event at the given time.
@@ -137,7 +148,7 @@
 	m := &model{callWork: time.Duration(float64(time.Second) / capacity), refusalCost: refusalCost, version: 1,
 		availableAt: []time.Duration{0, 0}, openWatches: map[int]func(){}, callsBySecond: map[int]int{}}
 	for i := range n {
-		m.gateways = append(m.gateways, &gateway{model: m, version: 1, caller: newCaller(rand.New(rand.NewPCG(seed, uint64(i))))})
+		m.gateways = append(m.gateways, &gateway{model: m, version: 1, lateCalls: map[int]Call{}, caller: newCaller(rand.New(rand.NewPCG(seed, uint64(i))))})
 	}
 	return m
 }
@@ -155,31 +166,99 @@
 	c := g.caller.Next(m.now)
 	m.seq++
 	id := m.seq
-	g.openCall = id
+	g.openCall, g.currentCall = id, c
 	m.callsBySecond[int(m.now/time.Second)]++
 	end := func(r Result) {
-		if g.openCall != id {
-			return
+		switch late, isLate := g.lateCalls[id]; {
+		case isLate:
+			g.finishLate(id, late, r)
+		case g.openCall == id && r.Outcome == TimedOut:
+			s := g.caller.Done(m.now, r)
+			g.setAside()
+			g.callAfter(s.Pause)
+		case g.openCall == id:
+			g.openCall = 0
+			delete(m.openWatches, id)
+			s := g.caller.Done(m.now, r)
+			g.receive(r, s)
+			g.callAfter(s.Pause)
 		}
-		g.openCall = 0
-		delete(m.openWatches, id)
-		g.finish(r)
 	}
-	m.schedule(m.now+c.Timeout, func() { end(Result{Outcome: TimedOut}) })
+	m.schedule(m.now+c.Timeout, func() {
+		if g.openCall == id {
+			end(Result{Outcome: TimedOut})
+		}
+	})
+	m.schedule(m.now+c.Timeout+LateAnswerTimeout, func() { g.giveUp(id) })
 	m.schedule(m.now+networkDelay, func() { m.arrive(g, id, c, end) })
 }
 
-// finish handles the result of a call: it records the delays of the changes received, and schedules the next call.
-func (g *gateway) finish(r Result) {
-	m := g.model
-	s := g.caller.Done(m.now, r)
-	if r.Outcome == Answered && s.UpToDate {
-		for v := g.version + 1; v <= r.Version; v++ {
-			m.delays = append(m.delays, m.now-m.availableAt[v])
+// callAfter schedules the next call. It replaces one that is already scheduled.
+func (g *gateway) callAfter(pause time.Duration) {
+	g.nextCall++
+	number := g.nextCall
+	g.model.schedule(g.model.now+pause, func() {
+		if g.nextCall == number {
+			g.call()
 		}
-		g.version = max(g.version, r.Version)
+	})
+}
+
+// receive records the delays of the changes that an answer brings.
+func (g *gateway) receive(r Result, s Step) {
+	if r.Outcome != Answered || !s.UpToDate {
+		return
+	}
+	for v := g.version + 1; v <= r.Version; v++ {
+		g.model.delays = append(g.model.delays, g.model.now-g.model.availableAt[v])
 	}
-	m.schedule(m.now+s.Pause, g.call)
+	g.version = max(g.version, r.Version)
+}
+
+// setAside ends the call in progress or leaves it open for a late answer.
+func (g *gateway) setAside() {
+	id := g.openCall
+	g.openCall = 0
+	late, ok := g.caller.(lateCaller)
+	if !ok || !late.KeepOpen() {
+		delete(g.model.openWatches, id)
+		return
+	}
+	if len(g.lateCalls) == MaxLateCalls {
+		g.giveUp(slices.Min(slices.Collect(maps.Keys(g.lateCalls))))
+	}
+	g.lateCalls[id] = g.currentCall
+}
+
+// giveUp ends a call that stayed open.
+func (g *gateway) giveUp(id int) {
+	if _, ok := g.lateCalls[id]; ok {
+		delete(g.lateCalls, id)
+		delete(g.model.openWatches, id)
+	}
+}
+
+// finishLate handles the result of a call that stayed open.
+func (g *gateway) finishLate(id int, c Call, r Result) {
+	g.giveUp(id)
+	if r.Outcome != Answered {
+		return
+	}
+	s := g.caller.(lateCaller).LateAnswer(c, r)
+	g.receive(r, s)
+	if !s.CallNow {
+		return
+	}
+	if g.openCall != 0 {
+		g.setAside()
+	}
+	g.callAfter(0)
+}
+
+// isOpen reports whether the gateway still waits for the answer to a call.
+func (g *gateway) isOpen(id int) bool {
+	_, isLate := g.lateCalls[id]
+	return isLate || g.openCall == id
 }
 
 // arrive handles a call that reaches discovery.
@@ -200,7 +279,7 @@
 		if outages != m.outages {
 			return
 		}
-		if g.openCall != id {
+		if !g.isOpen(id) {
 			m.wastedCalls++
 			return
 		}
--- a/internal/watch/pacer.go
+++ b/internal/watch/pacer.go
@@ -28,6 +28,20 @@
 // refusal. With an agent on the gateway's machine a call times out after 0.2 s and no pause follows. All other pauses
 // with an agent, except those after refusals, are at most 0.05 s.
 //
+// # Slow answers
+//
+// A call that times out is not given up at once: it stays open, and its answer is used if it still comes (Pacer.KeepOpen,
+// Pacer.LateAnswer). Until then the calls follow one another as if it had been lost. Otherwise a gateway would repeat the
+// same call for good if each answer took longer than the call's timeout, and would never receive a change. At most
+// MaxLateCalls calls stay open beside the current one, each for MaxUpdateDelay or longer. They cause no further calls,
+// except for the watch that follows a late answer at once.
+//
+// If each answer takes a time d, a change is received within 6 s where d is at most 4 s with an agent, or 3 s without one
+// or where the headers come at once and the rest later. This holds also after a discovery that was silent for 5 s or
+// longer or that reset connections. The list of a new address is received within 4 s where d is at most 3.5 s. A discovery
+// that refuses calls, each after a time d, leaves 1.4 s for d, and so does a watch that is lost, which is missed only
+// after its wait.
+//
 // # Required capacity of discovery
 //
 // Each gateway makes one call every 4 s and one more for each change. An event that affects all gateways makes all of
@@ -80,6 +94,16 @@
 	// failure, up to maxRetryPause.
 	RetryPause    = 50 * time.Millisecond
 	maxRetryPause = time.Second
+
+	// MaxLateCalls is how many calls that timed out may stay open for their late answers. Beyond that the oldest one is
+	// given up.
+	MaxLateCalls = 4
+	// lateCallSpacing is the least time between the starts of two calls that stay open, except for watches. So a call that
+	// stays open is given up only after MaxLateCalls times as long, which is MaxUpdateDelay.
+	lateCallSpacing = MaxUpdateDelay / MaxLateCalls
+	// LateAnswerTimeout is how long after its timeout a call may stay open.
+	LateAnswerTimeout = 10 * time.Second
+
 	// maxTimeoutPause is the longest pause after a call that timed out. The pause is random, because gateways that lost
 	// discovery at the same moment would otherwise call again at the same moment.
 	maxTimeoutPause = 300 * time.Millisecond
@@ -130,7 +154,7 @@
 	Answered Outcome = iota // with a valid list
 	Refused                 // discovery is up but overloaded
 	Failed                  // at once: connection failure, reset, unexpected status, or invalid list
-	TimedOut                // no answer or no connection within the call's timeout
+	TimedOut                // no answer yet, or no connection, within the call's timeout
 )
 
 // String returns the value of the outcome in metrics.
@@ -150,6 +174,12 @@
 	UpToDate   bool          // after applying the answer the gateway holds discovery's current list
 	Err        error         // ErrNoBaseList or nil
 	Pause      time.Duration // before the next call
+
+	// VersionsRestarted means that the answers of all other open calls belong to a numbering of versions that is no
+	// longer valid. They must not be used.
+	VersionsRestarted bool
+	// CallNow follows a late answer: the call or pause in progress must be ended, and the next call be made at once.
+	CallNow bool
 }
 
 // Pacer schedules the calls of one gateway, one at a time. Its random numbers come from the given source. It is not
@@ -166,7 +196,10 @@
 	refusalPauseLimit time.Duration // upper limit of the pause after the next refusal
 	call              Call
 	calledAt          time.Duration
+	inProgress        bool          // call has not ended yet
 	nextCallBy        time.Duration // latest time of the call after the next refusal; 0: no limit
+	hasLateCall       bool          // a call has stayed open for its late answer
+	lateCalledAt      time.Duration // when the last such call was made
 }
 
 // New returns a Pacer for a gateway that has made no call yet.
@@ -209,35 +242,60 @@
 	default:
 		p.call = Call{Kind: Watch, After: p.version, Wait: p.cfg.WatchWait, Timeout: p.cfg.WatchWait + p.cfg.WatchGrace}
 	}
-	p.calledAt = now
+	p.calledAt, p.inProgress = now, true
 	return p.call
 }
 
 // Done reports the result of the last call and returns what to do next.
 func (p *Pacer) Done(now time.Duration, r Result) Step {
-	switch {
-	case r.Outcome == Answered && !p.hasList && !r.Full:
-		return Step{Err: ErrNoBaseList, Pause: p.onFailure()}
-	case r.Outcome == Answered:
+	p.inProgress = false
+	switch r.Outcome {
+	case Answered:
 		return p.onAnswer(now, r)
-	case r.Outcome == Refused:
+	case Refused:
 		return Step{Pause: p.onRefusal(now)}
-	case r.Outcome == TimedOut:
+	case TimedOut:
 		return Step{Pause: p.onTimeout()}
 	}
 	return Step{Pause: p.onFailure()}
 }
 
-// onAnswer returns what to do after an answer.
-func (p *Pacer) onAnswer(now time.Duration, r Result) Step {
+// KeepOpen reports whether the last call, which timed out or is replaced by another one, should stay open. Its answer
+// may be on its way, and is then reported to LateAnswer. If each call to a discovery whose answers take longer than the
+// timeout were given up, no answer would ever be received.
+func (p *Pacer) KeepOpen() bool {
+	if p.call.Kind != Watch && p.hasLateCall && p.calledAt-p.lateCalledAt < lateCallSpacing {
+		return false // one that was made shortly before and stays open tells nearly as much
+	}
+	p.hasLateCall, p.lateCalledAt = true, p.calledAt
+	return true
+}
+
+// LateAnswer reports the answer of a call that stayed open, and returns what to do. Other results of such a call are
+// not reported: later calls have shown or will show how discovery is.
+func (p *Pacer) LateAnswer(call Call, r Result) Step {
+	// A watch in progress waits for the next change. Any other call only finds out whether discovery is up, and that
+	// is known now. A refusal keeps its pause.
+	callNow := p.failing || p.inProgress && p.call.Kind != Watch
+	s := p.takeAnswer(call, r)
+	if s.Err != nil {
+		return Step{} // changes to a list that is no longer held
+	}
 	p.resetBackoff()
-	if p.hasList && !r.Full && r.Version < p.version { // versions restarted: its changes do not fit the held list
-		p.hasList = false
-		return Step{}
+	s.CallNow = callNow || s.VersionsRestarted
+	return s
+}
+
+// onAnswer returns what to do after an answer to the last call.
+func (p *Pacer) onAnswer(now time.Duration, r Result) Step {
+	s := p.takeAnswer(p.call, r)
+	if s.Err != nil {
+		s.Pause = p.onFailure()
+		return s
 	}
-	p.hasList, p.version = true, r.Version
-	s := Step{HasChanges: r.Full || r.Entries > 0, UpToDate: true}
+	p.resetBackoff()
 	switch {
+	case !p.hasList: // the full list is needed at once
 	case s.HasChanges || now-p.calledAt >= RetryPause:
 		p.emptyPauseLimit = RetryPause
 	case p.call.Kind == Check:
@@ -249,6 +307,25 @@
 	return s
 }
 
+// takeAnswer updates the version held after the answer to a call, and returns what to do with the answer itself. The
+// calls may be answered in another order than they were made.
+func (p *Pacer) takeAnswer(call Call, r Result) Step {
+	if !p.hasList && !r.Full {
+		return Step{Err: ErrNoBaseList}
+	}
+	overtaken := p.hasList && (call.Kind == FullList || call.After != p.version) // another call was answered meanwhile
+	older := call.Kind != FullList && r.Version < call.After
+	switch {
+	case older && (overtaken || !r.Full): // versions restarted: these changes do not fit the held list
+		p.hasList = false
+		return Step{VersionsRestarted: true}
+	case overtaken && r.Version <= p.version:
+		return Step{UpToDate: true}
+	}
+	p.hasList, p.version = true, r.Version
+	return Step{HasChanges: r.Full || r.Entries > 0, UpToDate: true, VersionsRestarted: older}
+}
+
 // onRefusal returns the pause after a refusal. Its limit doubles, because the number of calling gateways is not known
 // here. The pause is random, because equal pauses would make all gateways call again at once.
 func (p *Pacer) onRefusal(now time.Duration) time.Duration {
--- a/internal/watch/pacer_test.go
+++ b/internal/watch/pacer_test.go
@@ -192,3 +192,104 @@
 		}
 	}
 }
+
+// Answers that come in another order than the calls were made must neither take the gateway back to an older list nor
+// be taken for a discovery that has restarted its versions. A real restart must lead to the full list.
+func TestLateAnswerKeepsNewestList(t *testing.T) {
+	const held = 41
+	changes := func(version uint64) Result { return Result{Outcome: Answered, Version: version, Entries: 1} }
+	full := func(version uint64) Result { return Result{Outcome: Answered, Version: version, Full: true} }
+	for name, tc := range map[string]struct {
+		first, second Result // the answers to the first and to the second call; the second one comes first
+		step          Step
+		next          uint64 // the version that the next call names; 0: the full list
+	}{
+		"older changes":               {changes(42), changes(43), Step{UpToDate: true}, 43},
+		"the same changes":            {changes(43), changes(43), Step{UpToDate: true}, 43},
+		"newer changes":               {changes(44), changes(43), Step{HasChanges: true, UpToDate: true}, 44},
+		"no changes before changes":   {Result{Outcome: Answered, Version: held}, changes(43), Step{UpToDate: true}, 43},
+		"older full list":             {full(42), changes(43), Step{UpToDate: true}, 43},
+		"newer full list":             {full(44), changes(43), Step{HasChanges: true, UpToDate: true}, 44},
+		"changes after no changes":    {changes(42), Result{Outcome: Answered, Version: held}, Step{HasChanges: true, UpToDate: true}, 42},
+		"versions restarted":          {changes(9), Result{Outcome: Answered, Version: held}, Step{VersionsRestarted: true, CallNow: true}, 0},
+		"restarted, full list":        {full(9), Result{Outcome: Answered, Version: held}, Step{HasChanges: true, UpToDate: true, VersionsRestarted: true, CallNow: true}, 9},
+		"restarted between, full":     {full(9), changes(43), Step{VersionsRestarted: true, CallNow: true}, 0},
+		"changes, no list held since": {changes(43), changes(9), Step{}, 0},
+	} {
+		p := New(Config{Agent: true, HasList: true, Version: held}, newRand(1))
+		first := p.Next(0)
+		p.Done(agentCheckTimeout, Result{Outcome: TimedOut})
+		if !p.KeepOpen() {
+			t.Errorf("%s: the first call that times out is given up", name)
+		}
+		p.Next(agentCheckTimeout)
+		p.Done(2*agentCheckTimeout, tc.second)
+		p.Next(2 * agentCheckTimeout)
+		if s := p.LateAnswer(first, tc.first); s != tc.step {
+			t.Errorf("%s: got %+v, want %+v", name, s, tc.step)
+		}
+		next := p.Next(3 * agentCheckTimeout)
+		if next.After != tc.next || (next.Kind == FullList) != (tc.next == 0) {
+			t.Errorf("%s: the next call is %+v, want version %d", name, next, tc.next)
+		}
+	}
+}
+
+// A late answer must end a call or a pause that only finds out whether discovery is up, and begin a watch at once. It
+// must not end a watch, nor the pause after a refusal.
+func TestLateAnswerBeginsWatch(t *testing.T) {
+	for name, tc := range map[string]struct {
+		noList  bool
+		result  Result // of the second call; none if the late answer comes while that is in progress
+		callNow bool
+	}{
+		"check in progress":     {false, Result{Outcome: -1}, true},
+		"full list in progress": {true, Result{Outcome: -1}, true},
+		"pause after a failure": {false, Result{Outcome: Failed}, true},
+		"pause after a timeout": {false, Result{Outcome: TimedOut}, true},
+		"pause after a refusal": {false, Result{Outcome: Refused}, false},
+	} {
+		for _, agent := range []bool{true, false} {
+			p := New(Config{Agent: agent, HasList: !tc.noList, Version: 1}, newRand(1))
+			first := p.Next(0)
+			p.Done(first.Timeout, Result{Outcome: TimedOut})
+			second := p.Next(first.Timeout)
+			if tc.result.Outcome >= 0 {
+				p.Done(first.Timeout+second.Timeout, tc.result)
+			}
+			if s := p.LateAnswer(first, Result{Outcome: Answered, Version: 1, Full: tc.noList}); s.CallNow != tc.callNow {
+				t.Errorf("%s, agent %v: got %+v", name, agent, s)
+			}
+			if next := p.Next(first.Timeout + second.Timeout); next.Kind != Watch {
+				t.Errorf("%s, agent %v: the next call is %+v, want a watch", name, agent, next)
+			}
+			if s := p.LateAnswer(second, Result{Outcome: Answered, Version: 1}); s.CallNow {
+				t.Errorf("%s, agent %v: a late answer ends a watch", name, agent)
+			}
+		}
+	}
+}
+
+// Few calls may stay open, and each long enough for an answer that comes within MaxUpdateDelay.
+func TestLateCallsStayOpenForMaxUpdateDelay(t *testing.T) {
+	const limit = 6 * time.Second // "a change counts as told at the latest 6 s after discovery had it"
+	p := New(Config{Agent: true, HasList: true, Version: 1}, newRand(1))
+	var open []time.Duration // when the calls that stay open were made
+	for now := time.Duration(0); now < time.Minute; now += agentCheckTimeout {
+		p.Next(now)
+		p.Done(now+agentCheckTimeout, Result{Outcome: TimedOut})
+		if !p.KeepOpen() {
+			continue
+		}
+		if len(open) == MaxLateCalls {
+			if age := now - open[0]; age < limit {
+				t.Errorf("a call is given up after %v", age)
+			}
+			open = open[1:]
+		}
+		open = append(open, now)
+		if len(open) > 1 && now-open[len(open)-2] > 2*time.Second {
+			t.Errorf("no call between %v and %v stays open", open[len(open)-2], now)
+		}
+	}
+}
