Count the time that discovery's refusal took as a part of the pause after it

Where each refusal takes 2.6 s, a change is received over 6 s after discovery serves calls again.

Cause: a refusal that comes late was followed by the whole pause, up to 2.5 s, though the gateway had not called discovery meanwhile either (Pacer.onRefusal).

Change: the time since the call was made counts as a part of the pause, down to 50 ms, if the refusal took over 50 ms. One that comes at once is followed by the same pause as before.

--- a/internal/watch/pacer.go
+++ b/internal/watch/pacer.go
@@ -39,8 +39,8 @@
 // If each answer takes a time d, a change is received within 6 s where d is at most 4 s with an agent, or 3 s without one
 // or where the headers come at once and the rest later. This holds also after a discovery that was silent for 5 s or
 // longer or that reset connections. The list of a new address is received within 4 s where d is at most 3.5 s. A discovery
-// that refuses calls, each after a time d, leaves 1.4 s for d, and so does a watch that is lost, which is missed only
-// after its wait.
+// that refuses calls, each after a time d, leaves 2.8 s for d. A watch that is lost is missed only after its wait, which
+// leaves 1.4 s for d.
 //
 // # Required capacity of discovery
 //
@@ -327,7 +327,8 @@
 }
 
 // onRefusal returns the pause after a refusal. Its limit doubles, because the number of calling gateways is not known
-// here. The pause is random, because equal pauses would make all gateways call again at once.
+// here. The pause is random, because equal pauses would make all gateways call again at once. The time that the refusal
+// took counts as a part of the pause.
 func (p *Pacer) onRefusal(now time.Duration) time.Duration {
 	limit := p.refusalPauseLimit
 	if p.nextCallBy > now { // little of MaxUpdateDelay is left, so this pause is short; the next one need not be
@@ -335,7 +336,11 @@
 	}
 	p.failing, p.nextCallBy = false, 0
 	p.refusalPauseLimit = min(2*p.refusalPauseLimit, MaxRefusalPause)
-	return p.jitter(limit)
+	pause := p.jitter(limit)
+	if waited := now - p.calledAt; waited > RetryPause { // the gateway has not called meanwhile either
+		pause = max(pause-waited, RetryPause)
+	}
+	return pause
 }
 
 // onTimeout returns the pause after a call that timed out.
